--- /dev/null
+++ b/api/src/main/java/org/sassafraslink/api/Json.java
@@ -0,0 +1,57 @@
+package org.sassafraslink.api;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.guava.GuavaModule;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.vavr.control.Either;
+import org.sassafraslink.api.failure.Failure;
+import org.sassafraslink.api.failure.FailureType;
+
+/** Converts immutable records to JSON and back. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .addModule(new GuavaModule())
+          .addModule(new Jdk8Module())
+          .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private Json() {}
+
+  /** The shared mapper: strict about unknown fields and trailing tokens. */
+  public static ObjectMapper mapper() {
+    return MAPPER;
+  }
+
+  /** Writes {@code value} as JSON. The records of this project can always be written. */
+  public static String write(Object value) {
+    try {
+      return MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("not writable as JSON: " + value.getClass(), e);
+    }
+  }
+
+  /** Reads JSON that came from outside; a value that does not parse is a typed failure. */
+  public static <T> Either<Failure, T> read(String json, Class<T> type) {
+    try {
+      T value = MAPPER.readValue(json, type);
+      return value == null ? Either.left(malformed(type)) : Either.right(value);
+    } catch (JsonProcessingException e) {
+      return Either.left(malformed(type));
+    }
+  }
+
+  /** Reads JSON that this project wrote itself; throws if it is damaged. */
+  public static <T> T readOwn(String json, Class<T> type) {
+    return read(json, type).getOrElseThrow(failure -> new IllegalStateException(failure.detail()));
+  }
+
+  private static Failure malformed(Class<?> type) {
+    return Failure.of(FailureType.REQUEST_MALFORMED, "not a valid " + type.getSimpleName());
+  }
+}
--- /dev/null
+++ b/api/src/main/java/org/sassafraslink/api/failure/Failure.java
@@ -0,0 +1,22 @@
+package org.sassafraslink.api.failure;
+
+import static java.util.Objects.requireNonNull;
+
+/** A typed failure with a detail for people. */
+public record Failure(FailureType type, String detail) {
+  public Failure {
+    requireNonNull(type);
+    requireNonNull(detail);
+  }
+
+  /** Creates a failure of {@code type}; {@code detail} is one sentence for a person. */
+  public static Failure of(FailureType type, String detail) {
+    return new Failure(type, detail);
+  }
+
+  /** The RFC 9457 problem that reports this failure. */
+  public Problem problem() {
+    return new Problem(
+        type.urn(), type.slug().replace('-', ' '), type.httpStatus(), detail, type.notRun());
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sassafraslink/cli/Printer.java
@@ -0,0 +1,141 @@
+package org.sassafraslink.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+import java.util.Locale;
+import org.sassafraslink.api.Json;
+
+/** Prints results as text for people or as JSON for programs. */
+final class Printer {
+  private final boolean json;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  Printer(boolean json, PrintStream out, PrintStream err) {
+    this.json = json;
+    this.out = out;
+    this.err = err;
+  }
+
+  /** Prints {@code node} as JSON, or the lines of {@code text}. */
+  void print(JsonNode node, String text) {
+    out.println(json ? node.toPrettyString() : text.stripTrailing());
+  }
+
+  void print(Object value, String text) {
+    print(Json.mapper().<JsonNode>valueToTree(value), text);
+  }
+
+  /** Prints a line of progress, which is never part of JSON output. */
+  void progress(String line) {
+    err.println(line);
+  }
+
+  void fail(ToolFailure failure) {
+    failure.messages().forEach(err::println);
+  }
+
+  static String changes(JsonNode changes) {
+    StringBuilder text = new StringBuilder();
+    for (JsonNode change : changes) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "  %s: '%s' -> '%s'%n",
+              change.get("field").asText(),
+              change.get("before").asText(),
+              change.get("after").asText()));
+    }
+    return text.toString();
+  }
+
+  static String status(JsonNode status) {
+    StringBuilder text = new StringBuilder();
+    text.append(
+        String.format(
+            Locale.ROOT,
+            "daemon %s: version in force %d, known %d, store %s%n",
+            status.get("daemon").asText(),
+            status.get("versionInForce").asLong(),
+            status.get("versionKnown").asLong(),
+            status.get("storeReachable").asBoolean() ? "answers" : "does not answer"));
+    for (JsonNode member : status.get("members")) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "  member %s zone %s %s knows version %d%n",
+              member.get("id").asText(),
+              member.get("zone").asText(),
+              member.get("standing").asText(),
+              member.get("versionKnown").asLong()));
+    }
+    for (JsonNode pool : status.get("pools")) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "pool %s: %d of %d VMs%s%n",
+              pool.get("name").asText(),
+              pool.get("vms").size(),
+              pool.get("size").asInt(),
+              pool.get("spare").asBoolean() ? " (spare)" : ""));
+      for (JsonNode vm : pool.get("vms")) {
+        text.append(
+            String.format(
+                Locale.ROOT,
+                "  vm %s zone %s %s listed %s%n",
+                vm.get("id").asText(),
+                vm.get("zone").asText(),
+                vm.get("phase").asText(),
+                vm.get("listed").asText()));
+      }
+    }
+    for (JsonNode team : status.get("teams")) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "team %s: share %d, limit %d, allotted %d, jobs %d%n",
+              team.get("name").asText(),
+              team.get("share").asInt(),
+              team.get("limit").asInt(),
+              team.get("allotted").asInt(),
+              team.get("jobs").asInt()));
+    }
+    for (JsonNode wave : status.get("waves")) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "wave %s generation %d: %d of %d VMs done%n",
+              wave.get("plan").asText(),
+              wave.get("generation").asInt(),
+              wave.get("done").asInt(),
+              wave.get("total").asInt()));
+    }
+    return text.toString();
+  }
+
+  static String job(JsonNode job) {
+    return String.format(
+        Locale.ROOT,
+        "%s %s %s%s %s",
+        job.get("id").asText(),
+        job.get("team").asText(),
+        job.get("state").asText(),
+        job.get("worker").isNull() ? "" : " on " + job.get("worker").asText(),
+        job.get("reason").asText());
+  }
+
+  static String audit(JsonNode entries) {
+    StringBuilder text = new StringBuilder();
+    for (JsonNode entry : entries) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "version %d by %s at %s%n%s",
+              entry.get("version").asLong(),
+              entry.get("author").asText(),
+              java.time.Instant.ofEpochMilli(entry.get("atMillis").asLong()),
+              changes(entry.get("changes"))));
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sassafraslink/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool {@code sassafraslink}. */
+package org.sassafraslink.cli;
--- /dev/null
+++ b/config/src/main/java/org/sassafraslink/config/ConfigDiff.java
@@ -0,0 +1,61 @@
+package org.sassafraslink.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.sassafraslink.api.Json;
+import org.sassafraslink.api.model.AuditEntry.Change;
+import org.sassafraslink.api.model.FleetConfig;
+
+/** Compares two configurations field by field. */
+public final class ConfigDiff {
+  private ConfigDiff() {}
+
+  /** The fields that differ, in the order of their paths. */
+  public static ImmutableList<Change> between(FleetConfig before, FleetConfig after) {
+    Map<String, String> left = flatten(before);
+    Map<String, String> right = flatten(after);
+    TreeSet<String> paths = new TreeSet<>(left.keySet());
+    paths.addAll(right.keySet());
+    return paths.stream()
+        .filter(path -> !left.getOrDefault(path, "").equals(right.getOrDefault(path, "")))
+        .map(path -> new Change(path, left.getOrDefault(path, ""), right.getOrDefault(path, "")))
+        .collect(ImmutableList.toImmutableList());
+  }
+
+  /** Whether two sets of changes touch a field in common; returns the first such field. */
+  public static java.util.Optional<String> overlap(
+      ImmutableList<Change> mine, ImmutableList<Change> theirs) {
+    return mine.stream()
+        .map(Change::field)
+        .filter(field -> theirs.stream().anyMatch(change -> change.field().equals(field)))
+        .findFirst();
+  }
+
+  private static Map<String, String> flatten(FleetConfig config) {
+    Map<String, String> fields = new TreeMap<>();
+    flatten("", Json.mapper().valueToTree(config), fields);
+    return fields;
+  }
+
+  private static void flatten(String path, JsonNode node, Map<String, String> fields) {
+    if (node.isObject()) {
+      node.properties()
+          .forEach(entry -> flatten(join(path, entry.getKey()), entry.getValue(), fields));
+    } else if (node.isArray()) {
+      for (JsonNode element : node) {
+        // Elements with an id are told apart by it, so that a removed key is one change.
+        String key = element.has("id") ? element.get("id").asText() : element.asText();
+        flatten(path + "[" + key + "]", element, fields);
+      }
+    } else {
+      fields.put(path, node.asText());
+    }
+  }
+
+  private static String join(String path, String name) {
+    return path.isEmpty() ? name : path + "." + name;
+  }
+}
--- /dev/null
+++ b/config/src/main/java/org/sassafraslink/config/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' service files: parsing, checking, gathering and comparing. */
+package org.sassafraslink.config;
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/connection/HeadCodec.java
@@ -0,0 +1,47 @@
+package org.sassafraslink.daemon.connection;
+
+import java.util.Optional;
+import org.sassafraslink.api.model.Head;
+import org.sassafraslink.api.model.Head.Intent;
+import org.sassafraslink.rules.version.HeadKnowledge;
+import org.sassafraslink.wire.generated.HeadState;
+
+/** Converts knowledge of the head row to its message and back. */
+final class HeadCodec {
+  private HeadCodec() {}
+
+  static HeadState toMessage(HeadKnowledge known) {
+    Head head = known.head();
+    HeadState.Builder message =
+        HeadState.newBuilder()
+            .setRevision(known.revision())
+            .setVersion(head.version())
+            .setDigest(head.digest())
+            .setAuthor(head.author());
+    head.intent()
+        .ifPresent(
+            intent ->
+                message
+                    .setHasIntent(true)
+                    .setIntentOperation(intent.operation())
+                    .setIntentDigest(intent.digest())
+                    .setIntentAuthor(intent.author())
+                    .setIntentAtMillis(intent.atMillis()));
+    return message.build();
+  }
+
+  static HeadKnowledge fromMessage(HeadState message) {
+    Optional<Intent> intent =
+        message.getHasIntent()
+            ? Optional.of(
+                new Intent(
+                    message.getIntentOperation(),
+                    message.getIntentDigest(),
+                    message.getIntentAuthor(),
+                    message.getIntentAtMillis()))
+            : Optional.empty();
+    return new HeadKnowledge(
+        message.getRevision(),
+        new Head(message.getVersion(), message.getDigest(), message.getAuthor(), intent));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/connection/LoadCodec.java
@@ -0,0 +1,56 @@
+package org.sassafraslink.daemon.connection;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.TreeSet;
+import org.sassafraslink.daemon.request.LoadReport;
+import org.sassafraslink.wire.generated.Load;
+import org.sassafraslink.wire.generated.TeamNeed;
+import org.sassafraslink.wire.generated.VmReport;
+
+/** Converts a load report to its message and back. */
+final class LoadCodec {
+  private LoadCodec() {}
+
+  static Load toMessage(LoadReport report) {
+    Load.Builder message = Load.newBuilder();
+    TreeSet<String> teams = new TreeSet<>(report.unmet().keySet());
+    teams.addAll(report.jobUnmet().keySet());
+    for (String team : teams) {
+      message.addTeams(
+          TeamNeed.newBuilder()
+              .setTeam(team)
+              .setUnmet(report.unmet().getOrDefault(team, 0))
+              .setJobUnmet(report.jobUnmet().getOrDefault(team, 0)));
+    }
+    TreeSet<String> vms = new TreeSet<>(report.inFlight().keySet());
+    vms.addAll(report.rowVersions().keySet());
+    for (String vm : vms) {
+      message.addVms(
+          VmReport.newBuilder()
+              .setVm(vm)
+              .setInFlight(report.inFlight().getOrDefault(vm, 0))
+              .setRowVersion(report.rowVersions().getOrDefault(vm, 0L)));
+    }
+    return message.build();
+  }
+
+  static LoadReport fromMessage(Load message) {
+    ImmutableMap.Builder<String, Integer> unmet = ImmutableMap.builder();
+    ImmutableMap.Builder<String, Integer> jobUnmet = ImmutableMap.builder();
+    for (TeamNeed need : message.getTeamsList()) {
+      unmet.put(need.getTeam(), need.getUnmet());
+      jobUnmet.put(need.getTeam(), need.getJobUnmet());
+    }
+    ImmutableMap.Builder<String, Integer> inFlight = ImmutableMap.builder();
+    ImmutableMap.Builder<String, Long> versions = ImmutableMap.builder();
+    for (VmReport vm : message.getVmsList()) {
+      inFlight.put(vm.getVm(), vm.getInFlight());
+      versions.put(vm.getVm(), vm.getRowVersion());
+    }
+    return new LoadReport(
+        unmet.buildKeepingLast(),
+        jobUnmet.buildKeepingLast(),
+        inFlight.buildKeepingLast(),
+        versions.buildKeepingLast());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/DutyHolder.java
@@ -0,0 +1,86 @@
+package org.sassafraslink.daemon.process;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.sassafraslink.api.Json;
+import org.sassafraslink.api.platform.PlatformFailure;
+import org.sassafraslink.api.platform.Row;
+import org.sassafraslink.api.platform.TableService;
+import org.sassafraslink.api.platform.Transaction;
+import org.sassafraslink.rules.process.DutyLease;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes and renews the lease of one duty, and fences its transactions.
+ *
+ * <p>Each transaction of the duty checks the version of the lease row. A holder that was paused
+ * past its lease finds the version raised by its successor and loses the write.
+ */
+final class DutyHolder {
+  private static final Logger LOG = LoggerFactory.getLogger("duty");
+
+  private final String duty;
+  private final String self;
+  private final TableService table;
+  private final Clock clock;
+  private final long leaseMillis;
+  private boolean wasHeld;
+
+  private DutyHolder(String duty, String self, TableService table, Clock clock, long leaseMillis) {
+    this.duty = duty;
+    this.self = self;
+    this.table = table;
+    this.clock = clock;
+    this.leaseMillis = leaseMillis;
+  }
+
+  static DutyHolder create(
+      String duty, String self, TableService table, Clock clock, long leaseMillis) {
+    return new DutyHolder(duty, self, table, clock, leaseMillis);
+  }
+
+  /** A duty that is held, with the version of its row that fences its transactions. */
+  record Fence(String key, long version, TableService table) {
+    /** Commits {@code transaction} if the duty is still held; false if it had no effect. */
+    boolean commit(Transaction transaction) {
+      return table.transact(transaction.check(key, version)).isRight();
+    }
+  }
+
+  /** Takes or renews the lease; empty while another process holds it. */
+  Optional<Fence> hold() {
+    String key = DutyLease.key(duty);
+    Either<PlatformFailure, Optional<Row>> read = table.read(key);
+    if (read.isLeft()) {
+      return Optional.empty();
+    }
+    DutyLease lease =
+        read.get()
+            .map(row -> Json.readOwn(row.value(), DutyLease.class))
+            .orElse(DutyLease.vacant());
+    long version = read.get().map(Row::version).orElse(Row.ABSENT);
+    long nowMillis = clock.wallMillis();
+    if (!lease.isRenewalDue(self, nowMillis, leaseMillis)) {
+      return Optional.of(new Fence(key, version, table));
+    }
+    Optional<Fence> held =
+        lease
+            .acquire(self, nowMillis, leaseMillis)
+            .flatMap(
+                next ->
+                    table
+                        .transact(Transaction.compareAndSet(key, version, Json.write(next)))
+                        .toJavaOptional())
+            .map(committed -> new Fence(key, committed, table));
+    note(held.isPresent());
+    return held;
+  }
+
+  private void note(boolean isHeld) {
+    if (isHeld && !wasHeld) {
+      LOG.info("This process holds {}.", duty);
+    }
+    wasHeld = isHeld;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Node.java
@@ -0,0 +1,330 @@
+package org.sassafraslink.daemon.process;
+
+import com.google.common.collect.ImmutableMap;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.sassafraslink.api.model.FleetConfig;
+import org.sassafraslink.daemon.connection.AdminServer;
+import org.sassafraslink.daemon.connection.EntryServer;
+import org.sassafraslink.daemon.connection.HttpBackendCaller;
+import org.sassafraslink.daemon.connection.JobRoutes;
+import org.sassafraslink.daemon.connection.PeerExchange;
+import org.sassafraslink.daemon.request.AllotmentWriter;
+import org.sassafraslink.daemon.request.ClaimDesk;
+import org.sassafraslink.daemon.request.Dispatcher;
+import org.sassafraslink.daemon.request.LoadReport;
+import org.sassafraslink.daemon.version.ActiveConfig;
+import org.sassafraslink.daemon.version.ConfigKeeper;
+import org.sassafraslink.daemon.version.Publisher;
+import org.sassafraslink.rules.process.MemberSet.Member;
+import org.sassafraslink.rules.process.MemberSet.Standing;
+import org.sassafraslink.rules.request.FairQueue;
+import org.sassafraslink.wire.PeerServer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A running daemon: its parts, its threads, and its graceful stop. */
+final class Node {
+  private static final Logger LOG = LoggerFactory.getLogger("process");
+  private static final Duration DUTY_INTERVAL = Duration.ofMillis(300);
+  private static final Duration MEMBER_INTERVAL = Duration.ofMillis(500);
+  private static final Duration NO_PAUSE = Duration.ZERO;
+  private static final long STOP_POLL_MILLIS = 50;
+  private static final int PEER_THREADS = 1;
+  private static final int JOB_THREADS = 4;
+  private static final long DEFAULT_LONGEST_RUN_MILLIS = 5_000;
+
+  /** Added to the longest declared run time before a dead process's units are reclaimed, in ms. */
+  private static final long RUN_MARGIN_MILLIS = 1_000;
+
+  private final Settings settings;
+  private final Clock clock = Clock.system();
+  private final String self;
+  private final Platform platform;
+  private final FleetState fleet = FleetState.create();
+  private final Metrics metrics = Metrics.create();
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory());
+  private final ExecutorService jobThreads = Executors.newFixedThreadPool(JOB_THREADS);
+  private final List<Duty> duties = new ArrayList<>();
+  private final ConfigKeeper keeper;
+  private final PeerExchange peers;
+  private final Dispatcher dispatcher;
+  private final AllotmentWriter writer;
+  private final ClaimDesk claims;
+  private final StoreSync sync;
+  private final Membership membership;
+  private final Planner planner;
+  private final Placer placer;
+  private PeerServer peerServer;
+  private EntryServer entryServer;
+  private AdminServer adminServer;
+  private volatile boolean accepting = true;
+  private volatile boolean stopping;
+
+  private Node(Settings settings) {
+    this.settings = settings;
+    this.self = settings.text(Setting.VM_ID) + "#" + UUID.randomUUID();
+    this.platform = Platform.http(settings);
+    this.keeper =
+        ConfigKeeper.create(self, settings.integer(Setting.FRESHNESS_LEASE), this::fetchObject);
+    this.writer = AllotmentWriter.create(platform.table());
+    this.claims =
+        ClaimDesk.create(
+            self,
+            platform.table(),
+            clock::monotonicMillis,
+            clock::wallMillis,
+            call -> dispatcher().submit(call));
+    this.dispatcher = createDispatcher();
+    writer.connect(dispatcher);
+    this.peers =
+        PeerExchange.create(self, loops, keeper, fleet, this::ownLoad, clock::monotonicMillis);
+    this.sync = StoreSync.create(platform, keeper, fleet, clock, dispatcher::onAllotmentRow);
+    this.membership = createMembership();
+    this.planner = createPlanner();
+    this.placer =
+        Placer.create(new Placer.Surroundings(platform, duty("placer"), clock, this::inForce));
+  }
+
+  /** Starts a daemon; it serves callers once it has read the head row. */
+  static Node start(Settings settings) {
+    Node node = new Node(settings);
+    node.open();
+    return node;
+  }
+
+  private Dispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  private Dispatcher createDispatcher() {
+    return Dispatcher.create(
+        new Dispatcher.Surroundings(
+            self,
+            settings.text(Setting.ZONE),
+            clock::monotonicMillis,
+            this::inForce,
+            fleet::view,
+            this::peerLoads,
+            HttpBackendCaller.create(settings.integer(Setting.MAX_ANSWER)),
+            writer::submit,
+            call -> claims.release(call)),
+        new FairQueue.Bounds(
+            settings.integer(Setting.QUEUE_TOTAL), settings.integer(Setting.QUEUE_PER_TEAM)));
+  }
+
+  private Membership createMembership() {
+    Member member =
+        new Member(
+            self,
+            settings.text(Setting.VM_ID),
+            settings.integer(Setting.VM_INCARNATION),
+            settings.text(Setting.HOST) + ":" + settings.integer(Setting.PEER_PORT),
+            settings.text(Setting.ZONE),
+            Standing.GUEST);
+    return Membership.create(
+        member,
+        platform.table(),
+        fleet,
+        clock,
+        peers::seenEpochs,
+        this::longestRunMillis,
+        settings.integer(Setting.ABSENCE_PROOF));
+  }
+
+  private Planner createPlanner() {
+    return Planner.create(
+        new Planner.Surroundings(
+            platform, duty("planner"), fleet, clock, this::inForce, this::allLoads),
+        settings.integer(Setting.ABSENCE_PROOF));
+  }
+
+  private DutyHolder duty(String name) {
+    return DutyHolder.create(
+        name, self, platform.table(), clock, settings.integer(Setting.DUTY_LEASE));
+  }
+
+  private void open() {
+    String host = settings.text(Setting.HOST);
+    // Bound before registration: whoever holds this address knows that its last holder is dead.
+    peerServer =
+        PeerServer.start(loops, host, settings.integer(Setting.PEER_PORT), peers::onMessage);
+    adminServer = startAdmin(host);
+    dispatcher.start();
+    duties.add(Duty.start("allotments", NO_PAUSE, writer::round));
+    duties.add(Duty.start("store", settings.duration(Setting.POLL), sync::round));
+    duties.add(Duty.start("members", MEMBER_INTERVAL, membership::round));
+    duties.add(Duty.start("peers", settings.duration(Setting.PEER_INTERVAL), peers::round));
+    duties.add(Duty.start("claims", NO_PAUSE, claims::round));
+    duties.add(Duty.start("planner", DUTY_INTERVAL, planner::round));
+    duties.add(Duty.start("placer", DUTY_INTERVAL, placer::round));
+    entryServer = startEntry(host);
+    LOG.info("Daemon {} listens on {}:{}.", self, host, settings.integer(Setting.HTTP_PORT));
+  }
+
+  private EntryServer startEntry(String host) {
+    return EntryServer.start(
+        new EntryServer.Surroundings(
+            this::inForce,
+            () -> accepting,
+            clock::monotonicMillis,
+            dispatcher,
+            claims,
+            metrics::count),
+        new EntryServer.Limits(
+            host,
+            settings.integer(Setting.HTTP_PORT),
+            settings.integer(Setting.MAX_REQUEST),
+            settings.integer(Setting.MAX_HEADERS),
+            settings.integer(Setting.MAX_BUFFERED),
+            settings.integer(Setting.MAX_CONNECTIONS),
+            settings.integer(Setting.READ_TIMEOUT)));
+  }
+
+  private AdminServer startAdmin(String host) {
+    Publisher publisher =
+        Publisher.create(
+            platform.table(), platform.objects(), peers::announce, keeper, clock::wallMillis);
+    StatusReader status =
+        StatusReader.create(
+            new StatusReader.Sources(
+                self,
+                platform.table(),
+                keeper,
+                fleet,
+                peers,
+                dispatcher::status,
+                sync::isReachable,
+                planner::notEmpty,
+                clock));
+    Explainer explainer =
+        Explainer.create(platform.table(), keeper, fleet, dispatcher::status, status::read, clock);
+    JobRoutes jobs =
+        JobRoutes.create(
+            platform.table(), platform.workers(), this::inForce, clock::wallMillis, jobThreads);
+    addMetrics();
+    return AdminServer.start(
+        new AdminServer.Surroundings(
+            settings.operators(),
+            platform.table(),
+            keeper,
+            publisher,
+            status,
+            explainer,
+            metrics,
+            jobs,
+            this::isReady),
+        host,
+        settings.integer(Setting.ADMIN_PORT));
+  }
+
+  private void addMetrics() {
+    metrics.addDispatch(dispatcher::status);
+    metrics.addGauge(
+        "sassafraslink_config_version",
+        "Version in force; -1 while everything is refused.",
+        () -> (double) inForce().map(ActiveConfig::version).orElse(-1L));
+    metrics.addGauge(
+        "sassafraslink_evidence_age_seconds",
+        "Age of the last direct evidence that the version is the latest; -1 without any.",
+        () -> keeper.freshness().evidenceAge(clock.monotonicMillis()).orElse(-1_000) / 1_000.0);
+    metrics.addGauge(
+        "sassafraslink_buffered_bytes",
+        "Bytes of request bodies held.",
+        () -> entryServer == null ? 0.0 : (double) entryServer.bufferedBytes());
+    metrics.addGauge(
+        "sassafraslink_members",
+        "Registered daemons that may be alive.",
+        () -> (double) fleet.view().members().alive().size());
+  }
+
+  /** Stops gracefully: new work is refused, work in flight ends, units are returned. */
+  void stop() {
+    stopping = true;
+    LOG.info("Daemon stops.");
+    pause(settings.integer(Setting.STOP_GRACE));
+    accepting = false;
+    long endMillis = clock.monotonicMillis() + settings.integer(Setting.STOP_TIMEOUT);
+    while (entryServer.waiting() > 0 && clock.monotonicMillis() < endMillis) {
+      pause(STOP_POLL_MILLIS);
+    }
+    duties.forEach(Duty::close);
+    if (entryServer.waiting() == 0) {
+      membership.leave();
+    }
+    entryServer.stop();
+    adminServer.stop();
+    peerServer.close();
+    dispatcher.close();
+    LOG.info("Daemon has stopped with {} requests unanswered.", entryServer.waiting());
+  }
+
+  private boolean isReady() {
+    return !stopping && inForce().isPresent() && membership.isRegistered();
+  }
+
+  private Optional<ActiveConfig> inForce() {
+    return keeper.inForce(clock.monotonicMillis());
+  }
+
+  private Optional<String> fetchObject(String digest) {
+    return platform
+        .objects()
+        .get(digest)
+        .getOrElse(Optional.empty())
+        .or(() -> peers.fetchObject(digest));
+  }
+
+  private LoadReport ownLoad() {
+    return dispatcher.load().withJobUnmet(placer.unmet());
+  }
+
+  /** The loads of the peers, and what this process's own placer lacks. */
+  private ImmutableMap<String, LoadReport> peerLoads() {
+    return ImmutableMap.<String, LoadReport>builder()
+        .putAll(peers.loads())
+        .put(self, LoadReport.empty().withJobUnmet(placer.unmet()))
+        .buildKeepingLast();
+  }
+
+  private ImmutableMap<String, LoadReport> allLoads() {
+    return ImmutableMap.<String, LoadReport>builder()
+        .putAll(peers.loads())
+        .put(self, ownLoad())
+        .buildKeepingLast();
+  }
+
+  private long longestRunMillis() {
+    return keeper
+            .lastLoaded()
+            .map(ActiveConfig::config)
+            .map(Node::longestTimeout)
+            .orElse(DEFAULT_LONGEST_RUN_MILLIS)
+        + RUN_MARGIN_MILLIS;
+  }
+
+  private static long longestTimeout(FleetConfig config) {
+    return config.services().values().stream()
+        .flatMap(service -> service.queues().values().stream())
+        .mapToLong(FleetConfig.Queue::timeoutMillis)
+        .max()
+        .orElse(DEFAULT_LONGEST_RUN_MILLIS);
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Placer.java
@@ -0,0 +1,289 @@
+package org.sassafraslink.daemon.process;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.sassafraslink.api.Json;
+import org.sassafraslink.api.model.FleetConfig;
+import org.sassafraslink.api.model.FleetConfig.Team;
+import org.sassafraslink.api.platform.PlatformFailure;
+import org.sassafraslink.api.platform.Row;
+import org.sassafraslink.api.platform.TableService;
+import org.sassafraslink.api.platform.Transaction;
+import org.sassafraslink.api.platform.WorkerControl;
+import org.sassafraslink.api.platform.WorkerControl.Resources;
+import org.sassafraslink.api.platform.WorkerControl.Start;
+import org.sassafraslink.api.platform.WorkerControl.Task;
+import org.sassafraslink.api.platform.WorkerControl.Worker;
+import org.sassafraslink.daemon.process.DutyHolder.Fence;
+import org.sassafraslink.daemon.version.ActiveConfig;
+import org.sassafraslink.rules.process.AllotmentRow;
+import org.sassafraslink.rules.process.Job;
+import org.sassafraslink.rules.process.Job.State;
+import org.sassafraslink.rules.process.JobPlacement;
+import org.sassafraslink.rules.process.WorkerQuarantine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The duty that places jobs on workers and follows them to their end.
+ *
+ * <p>A job is placed by one fenced transaction that also takes a unit of its team's limit, before
+ * the worker is told. A successor finds the job's row and tells the worker again, which is
+ * idempotent for the same epoch.
+ */
+final class Placer {
+  private static final Logger LOG = LoggerFactory.getLogger("placer");
+  private static final long TASK_LEASE_MILLIS = 10_000;
+
+  /** Starts of a rerunnable job before its failure is final. */
+  private static final long MAX_STARTS = 3;
+
+  /** What the placer needs from the rest of the process. */
+  record Surroundings(
+      Platform platform, DutyHolder duty, Clock clock, Supplier<Optional<ActiveConfig>> config) {}
+
+  private record Situation(
+      Fence fence,
+      FleetConfig config,
+      long configVersion,
+      ImmutableList<Worker> workers,
+      ImmutableMap<String, Task> tasks,
+      List<Versioned<Job>> jobs) {}
+
+  private final Surroundings surroundings;
+  private WorkerQuarantine quarantine = WorkerQuarantine.create();
+  private volatile ImmutableMap<String, Integer> unmet = ImmutableMap.of();
+
+  private Placer(Surroundings surroundings) {
+    this.surroundings = surroundings;
+  }
+
+  static Placer create(Surroundings surroundings) {
+    return new Placer(surroundings);
+  }
+
+  /** The jobs of each team that wait for a unit of its limit; empty unless the duty is held. */
+  ImmutableMap<String, Integer> unmet() {
+    return unmet;
+  }
+
+  void round() {
+    Optional<ActiveConfig> active = surroundings.config().get();
+    if (active.isEmpty()) {
+      return;
+    }
+    surroundings.duty().hold().flatMap(fence -> read(fence, active.get())).ifPresent(this::decide);
+  }
+
+  private Optional<Situation> read(Fence fence, ActiveConfig active) {
+    WorkerControl control = surroundings.platform().workers();
+    Either<PlatformFailure, ImmutableList<Row>> rows = table().scan(Job.PREFIX);
+    Either<PlatformFailure, ImmutableList<Worker>> workers = control.workers();
+    Either<PlatformFailure, ImmutableList<Task>> tasks = control.tasks();
+    if (rows.isLeft() || workers.isLeft() || tasks.isLeft()) {
+      return Optional.empty();
+    }
+    List<Versioned<Job>> jobs =
+        rows.get().stream()
+            .map(row -> new Versioned<>(Json.readOwn(row.value(), Job.class), row.version()))
+            .filter(job -> !job.value().state().isFinal())
+            .toList();
+    Map<String, Task> byJob = new LinkedHashMap<>();
+    tasks.get().forEach(task -> byJob.put(task.job(), task));
+    return Optional.of(
+        new Situation(
+            fence,
+            active.config(),
+            active.version(),
+            workers.get(),
+            ImmutableMap.copyOf(byJob),
+            jobs));
+  }
+
+  private void decide(Situation situation) {
+    Map<String, Resources> used = new HashMap<>();
+    for (Versioned<Job> job : situation.jobs()) {
+      if (job.value().state() != State.WAITING) {
+        follow(situation, job);
+        use(used, job.value());
+      }
+    }
+    Map<String, Integer> lacking = new HashMap<>();
+    situation.jobs().stream()
+        .filter(job -> job.value().state() == State.WAITING)
+        .sorted((left, right) -> JobPlacement.order().compare(left.value(), right.value()))
+        .filter(job -> lacksUnit(situation, job, used))
+        .forEach(job -> lacking.merge(job.value().team(), 1, Integer::sum));
+    unmet = ImmutableMap.copyOf(lacking);
+  }
+
+  private static void use(Map<String, Resources> used, Job job) {
+    Resources none = new Resources(0, 0, 0);
+    String worker = job.worker().orElse("");
+    Resources before = used.getOrDefault(worker, none);
+    used.put(worker, before.minus(none.minus(job.need())));
+  }
+
+  private void follow(Situation situation, Versioned<Job> row) {
+    Job job = row.value();
+    Task task = situation.tasks().get(job.id());
+    boolean isKnown = task != null && task.epoch() == job.epoch();
+    if (!isKnown) {
+      // The worker was not told, or the answer was lost; a repeated start does no harm.
+      renew(job);
+      return;
+    }
+    switch (task.state()) {
+      case RUNNING -> {
+        if (job.state() == State.CANCELLING) {
+          stop(situation, row);
+        } else {
+          renew(job);
+        }
+      }
+      case DONE -> finish(situation, row, job.end(State.DONE, ""), false);
+      case FAILED -> finish(situation, row, afterFailure(job), true);
+      case STOPPED -> finish(situation, row, afterStop(job), false);
+    }
+  }
+
+  private static Job afterFailure(Job job) {
+    return job.rerunnable() && job.epoch() < MAX_STARTS
+        ? job.requeue("it failed; it waits to run again")
+        : job.end(State.FAILED, "the task failed");
+  }
+
+  private static Job afterStop(Job job) {
+    if (job.state() == State.CANCELLING) {
+      return job.end(State.CANCELLED, "cancelled while it ran");
+    }
+    return job.rerunnable()
+        ? job.requeue("its lease lapsed; it waits to run again")
+        : job.end(State.FAILED, "its lease lapsed; it may have run in part");
+  }
+
+  private void renew(Job job) {
+    var unused =
+        surroundings
+            .platform()
+            .workers()
+            .start(
+                new Start(
+                    job.id(),
+                    job.epoch(),
+                    job.worker().orElseThrow(),
+                    job.need(),
+                    job.runMillis(),
+                    TASK_LEASE_MILLIS));
+  }
+
+  private void stop(Situation situation, Versioned<Job> row) {
+    Job job = row.value();
+    surroundings
+        .platform()
+        .workers()
+        .stop(job.id(), job.epoch())
+        .forEach(
+            task ->
+                finish(
+                    situation,
+                    row,
+                    task.state() == WorkerControl.TaskState.DONE
+                        ? job.end(State.DONE, "it ended before it could be cancelled")
+                        : job.end(State.CANCELLED, "cancelled while it ran"),
+                    false));
+  }
+
+  private void finish(Situation situation, Versioned<Job> row, Job next, boolean failed) {
+    long nowMillis = surroundings.clock().monotonicMillis();
+    quarantine = quarantine.onEnd(row.value().worker().orElse(""), failed, nowMillis);
+    withAllotment(
+        situation,
+        row.value().team(),
+        allotment ->
+            Optional.of(
+                update(row, next)
+                    .check(AllotmentRow.key(next.team()), allotment.version())
+                    .put(
+                        AllotmentRow.key(next.team()), Json.write(allotment.value().addJobs(-1)))));
+  }
+
+  /** Tries to place a job; true if only a unit of its team's limit was lacking. */
+  private boolean lacksUnit(Situation situation, Versioned<Job> row, Map<String, Resources> used) {
+    Job job = row.value();
+    Team team = situation.config().teams().get(job.team());
+    if (team == null || JobPlacement.isNeverRunnable(situation.workers(), job.need())) {
+      String why = team == null ? "its team is gone" : "no worker is large enough";
+      boolean unused = situation.fence().commit(update(row, job.end(State.FAILED, why)));
+      return false;
+    }
+    long nowMillis = surroundings.clock().monotonicMillis();
+    Optional<Worker> worker =
+        JobPlacement.choose(
+            situation.workers(),
+            ImmutableMap.copyOf(used),
+            quarantine.quarantined(nowMillis),
+            job.need());
+    if (worker.isEmpty()) {
+      return false;
+    }
+    Job placed = job.place(worker.get().id());
+    boolean committed =
+        withAllotment(
+            situation,
+            job.team(),
+            allotment -> {
+              AllotmentRow limited =
+                  allotment.value().withLimit(team.limit(), situation.configVersion());
+              return limited.hasRoomForJob()
+                  ? Optional.of(
+                      update(row, placed)
+                          .check(AllotmentRow.key(job.team()), allotment.version())
+                          .put(AllotmentRow.key(job.team()), Json.write(limited.addJobs(1))))
+                  : Optional.empty();
+            });
+    if (committed) {
+      LOG.info("Job {} starts on {}.", job.id(), worker.get().id());
+      quarantine = quarantine.onStart(worker.get().id(), nowMillis);
+      use(used, placed);
+      renew(placed);
+    }
+    return !committed;
+  }
+
+  private static Transaction update(Versioned<Job> row, Job next) {
+    return Transaction.compareAndSet(Job.key(next.id()), row.version(), Json.write(next));
+  }
+
+  /** A change of a team's row; empty if it should not be written. */
+  @FunctionalInterface
+  private interface AllotmentChange {
+    Optional<Transaction> on(Versioned<AllotmentRow> row);
+  }
+
+  private boolean withAllotment(Situation situation, String team, AllotmentChange change) {
+    Either<PlatformFailure, Optional<Row>> read = table().read(AllotmentRow.key(team));
+    if (read.isLeft()) {
+      return false;
+    }
+    Versioned<AllotmentRow> row =
+        read.get()
+            .map(
+                found ->
+                    new Versioned<>(
+                        Json.readOwn(found.value(), AllotmentRow.class), found.version()))
+            .orElse(new Versioned<>(AllotmentRow.create(team, 0, 0), Row.ABSENT));
+    return change.on(row).filter(situation.fence()::commit).isPresent();
+  }
+
+  private TableService table() {
+    return surroundings.platform().table();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Settings.java
@@ -0,0 +1,97 @@
+package org.sassafraslink.daemon.process;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.sassafraslink.api.Digests;
+
+/** The checked settings of a daemon. */
+public final class Settings {
+  private final ImmutableMap<Setting, String> values;
+  private final ImmutableMap<String, String> operators;
+
+  private Settings(ImmutableMap<Setting, String> values, ImmutableMap<String, String> operators) {
+    this.values = values;
+    this.operators = operators;
+  }
+
+  /** The parser of the daemon's flags. */
+  static OptionParser parser() {
+    OptionParser parser = new OptionParser();
+    for (Setting setting : Setting.values()) {
+      parser.accepts(setting.flag(), setting.description()).withRequiredArg();
+    }
+    parser.accepts("help", "prints this help");
+    parser.accepts("version", "prints the version");
+    parser.accepts("check-settings", "checks the settings and ends");
+    return parser;
+  }
+
+  /** Reads flags and environment variables; the faults are sentences for the operator. */
+  static Either<ImmutableList<String>, Settings> parse(
+      String[] args, Map<String, String> environment) {
+    OptionSet options;
+    try {
+      options = parser().parse(args);
+    } catch (OptionException e) {
+      return Either.left(ImmutableList.of(e.getMessage() + "."));
+    }
+    List<String> faults = new ArrayList<>();
+    Map<Setting, String> values = new EnumMap<>(Setting.class);
+    for (Setting setting : Setting.values()) {
+      String value =
+          options.has(setting.flag())
+              ? String.valueOf(options.valueOf(setting.flag()))
+              : environment.getOrDefault(setting.variable(), setting.fallback());
+      setting.fault(value).ifPresent(faults::add);
+      values.put(setting, value);
+    }
+    ImmutableMap<String, String> operators = operators(values.get(Setting.OPERATORS), faults);
+    return faults.isEmpty()
+        ? Either.right(new Settings(ImmutableMap.copyOf(values), operators))
+        : Either.left(ImmutableList.copyOf(faults));
+  }
+
+  private static ImmutableMap<String, String> operators(String value, List<String> faults) {
+    ImmutableMap.Builder<String, String> result = ImmutableMap.builder();
+    for (String entry : Splitter.on(',').omitEmptyStrings().split(value)) {
+      int equals = entry.indexOf('=');
+      String digest = entry.substring(equals + 1);
+      if (equals < 1 || !Digests.isWellFormed(digest)) {
+        faults.add("--operators has '" + entry + "' but needs name=sha256:digest.");
+        continue;
+      }
+      result.put(entry.substring(0, equals), digest);
+    }
+    return result.buildKeepingLast();
+  }
+
+  /** The value of a text setting. */
+  String text(Setting setting) {
+    return values.get(setting);
+  }
+
+  /** The value of a numeric setting. */
+  int integer(Setting setting) {
+    return Integer.parseInt(values.get(setting));
+  }
+
+  /** The value of a setting in milliseconds. */
+  Duration duration(Setting setting) {
+    return Duration.ofMillis(integer(setting));
+  }
+
+  /** The digest of each operator's key, by name. */
+  ImmutableMap<String, String> operators() {
+    return operators;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/StatusReader.java
@@ -0,0 +1,161 @@
+package org.sassafraslink.daemon.process;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.sassafraslink.api.Json;
+import org.sassafraslink.api.model.FleetConfig;
+import org.sassafraslink.api.model.FleetConfig.MaintenancePlan;
+import org.sassafraslink.api.model.FleetConfig.Pool;
+import org.sassafraslink.api.model.FleetConfig.Team;
+import org.sassafraslink.api.platform.TableService;
+import org.sassafraslink.api.platform.VmList.Vm;
+import org.sassafraslink.daemon.connection.PeerExchange;
+import org.sassafraslink.daemon.connection.PeerExchange.PeerState;
+import org.sassafraslink.daemon.process.StatusReport.MemberStatus;
+import org.sassafraslink.daemon.process.StatusReport.PoolStatus;
+import org.sassafraslink.daemon.process.StatusReport.TeamReport;
+import org.sassafraslink.daemon.process.StatusReport.VmStatus;
+import org.sassafraslink.daemon.process.StatusReport.WaveStatus;
+import org.sassafraslink.daemon.request.DispatchStatus;
+import org.sassafraslink.daemon.version.ActiveConfig;
+import org.sassafraslink.daemon.version.ConfigKeeper;
+import org.sassafraslink.rules.process.AllotmentRow;
+import org.sassafraslink.rules.process.MemberSet.Member;
+import org.sassafraslink.rules.process.VmOwnership;
+import org.sassafraslink.rules.process.WavePlan.Progress;
+
+/** Puts the status report of a daemon together. */
+public final class StatusReader {
+  /** Where the parts of the report come from. */
+  record Sources(
+      String self,
+      TableService table,
+      ConfigKeeper keeper,
+      FleetState fleet,
+      PeerExchange peers,
+      Supplier<DispatchStatus> dispatch,
+      Supplier<Boolean> storeReachable,
+      Supplier<ImmutableMap<String, ImmutableList<String>>> notEmpty,
+      Clock clock) {}
+
+  private final Sources sources;
+
+  private StatusReader(Sources sources) {
+    this.sources = sources;
+  }
+
+  static StatusReader create(Sources sources) {
+    return new StatusReader(sources);
+  }
+
+  /** The report as of now; parts that the store does not tell are left out. */
+  public StatusReport read() {
+    long nowMillis = sources.clock().monotonicMillis();
+    FleetConfig config =
+        sources.keeper().lastLoaded().map(ActiveConfig::config).orElse(FleetConfig.empty());
+    FleetView view = sources.fleet().view();
+    return new StatusReport(
+        sources.self(),
+        sources.keeper().inForce(nowMillis).map(ActiveConfig::version).orElse(-1L),
+        sources.keeper().freshness().known().head().version(),
+        sources.storeReachable().get(),
+        members(view, nowMillis),
+        pools(config, view),
+        teams(config),
+        waves(config, view),
+        sources.dispatch().get());
+  }
+
+  private ImmutableList<MemberStatus> members(FleetView view, long nowMillis) {
+    ImmutableMap<String, PeerState> states = sources.peers().states();
+    ImmutableList.Builder<MemberStatus> result = ImmutableList.builder();
+    for (Member member : view.members().members().values()) {
+      boolean isSelf = member.id().equals(sources.self());
+      Optional<PeerState> state = Optional.ofNullable(states.get(member.id()));
+      long version =
+          isSelf
+              ? sources.keeper().freshness().known().head().version()
+              : state.map(PeerState::version).orElse(-1L);
+      long ago = isSelf ? 0 : state.map(s -> nowMillis - s.answeredMillis()).orElse(-1L);
+      result.add(
+          new MemberStatus(member.id(), member.zone(), member.standing().name(), version, ago));
+    }
+    return result.build();
+  }
+
+  private ImmutableList<PoolStatus> pools(FleetConfig config, FleetView view) {
+    ImmutableMap<String, ImmutableList<String>> notEmpty = sources.notEmpty().get();
+    ImmutableList.Builder<PoolStatus> result = ImmutableList.builder();
+    for (Pool pool : config.pools().values()) {
+      ImmutableList<VmStatus> vms =
+          view.vms().values().stream()
+              .map(Versioned::value)
+              .filter(row -> row.pool().equals(pool.name()))
+              .map(row -> vm(view, row, notEmpty.getOrDefault(row.vm(), ImmutableList.of())))
+              .collect(ImmutableList.toImmutableList());
+      result.add(new PoolStatus(pool.name(), pool.size(), pool.spare(), vms));
+    }
+    return result.build();
+  }
+
+  private static VmStatus vm(FleetView view, VmOwnership row, ImmutableList<String> notEmpty) {
+    Optional<Vm> listed = view.listed(row.vm());
+    return new VmStatus(
+        row.vm(),
+        listed.map(Vm::zone).orElse(""),
+        listed.map(vm -> vm.state().name()).orElse("ABSENT"),
+        row.phase().name(),
+        row.target().orElse(""),
+        notEmpty);
+  }
+
+  private ImmutableList<TeamReport> teams(FleetConfig config) {
+    Map<String, AllotmentRow> rows = new LinkedHashMap<>();
+    sources
+        .table()
+        .scan(AllotmentRow.prefix())
+        .forEach(
+            scanned ->
+                scanned.forEach(
+                    row -> {
+                      AllotmentRow allotment = Json.readOwn(row.value(), AllotmentRow.class);
+                      rows.put(allotment.team(), allotment);
+                    }));
+    ImmutableList.Builder<TeamReport> result = ImmutableList.builder();
+    for (Team team : config.teams().values()) {
+      AllotmentRow row =
+          rows.getOrDefault(team.name(), AllotmentRow.create(team.name(), team.limit(), 0));
+      result.add(
+          new TeamReport(
+              team.name(), team.share(), team.limit(), row.total(), row.jobs(), row.units()));
+    }
+    return result.build();
+  }
+
+  private ImmutableList<WaveStatus> waves(FleetConfig config, FleetView view) {
+    ImmutableList.Builder<WaveStatus> result = ImmutableList.builder();
+    for (MaintenancePlan plan : config.plans().values()) {
+      int total =
+          (int)
+              view.vms().values().stream()
+                  .filter(row -> plan.pools().contains(row.value().pool()))
+                  .count();
+      int done =
+          sources
+              .table()
+              .read(Progress.key(plan.name()))
+              .toJavaOptional()
+              .flatMap(row -> row)
+              .map(row -> Json.readOwn(row.value(), Progress.class))
+              .filter(progress -> progress.generation() == plan.generation())
+              .map(progress -> progress.done().size())
+              .orElse(0);
+      result.add(new WaveStatus(plan.name(), plan.generation(), done, total));
+    }
+    return result.build();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/StoreSync.java
@@ -0,0 +1,156 @@
+package org.sassafraslink.daemon.process;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BiConsumer;
+import org.sassafraslink.api.Json;
+import org.sassafraslink.api.model.Head;
+import org.sassafraslink.api.platform.PlatformFailure;
+import org.sassafraslink.api.platform.Row;
+import org.sassafraslink.daemon.version.ConfigKeeper;
+import org.sassafraslink.rules.process.AllotmentRow;
+import org.sassafraslink.rules.process.MemberSet;
+import org.sassafraslink.rules.process.VmOwnership;
+import org.sassafraslink.rules.version.HeadKnowledge;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Reads from the platform at an interval what the process acts on. */
+final class StoreSync {
+  private static final Logger LOG = LoggerFactory.getLogger("store");
+  private static final long FIRST_BACKOFF_MILLIS = 200;
+  private static final long MAX_BACKOFF_MILLIS = 3_000;
+
+  /** Allotment rows and the list change slowly: they are read each few rounds. */
+  private static final int SLOW_ROUNDS = 2;
+
+  private final Platform platform;
+  private final ConfigKeeper keeper;
+  private final FleetState fleet;
+  private final Clock clock;
+  private final BiConsumer<AllotmentRow, Long> onAllotment;
+  private Backoff backoff = Backoff.create(FIRST_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
+  private long round;
+  private volatile boolean reachable;
+
+  private StoreSync(
+      Platform platform,
+      ConfigKeeper keeper,
+      FleetState fleet,
+      Clock clock,
+      BiConsumer<AllotmentRow, Long> onAllotment) {
+    this.platform = platform;
+    this.keeper = keeper;
+    this.fleet = fleet;
+    this.clock = clock;
+    this.onAllotment = onAllotment;
+  }
+
+  static StoreSync create(
+      Platform platform,
+      ConfigKeeper keeper,
+      FleetState fleet,
+      Clock clock,
+      BiConsumer<AllotmentRow, Long> onAllotment) {
+    return new StoreSync(platform, keeper, fleet, clock, onAllotment);
+  }
+
+  /** Whether the last round read the head row. */
+  boolean isReachable() {
+    return reachable;
+  }
+
+  void round() throws InterruptedException {
+    boolean isSlowRound = round++ % SLOW_ROUNDS == 0;
+    if (isSlowRound) {
+      readListing();
+    }
+    boolean succeeded = readHead();
+    if (succeeded) {
+      readMembers();
+      readVms();
+      if (isSlowRound) {
+        readAllotments();
+      }
+    }
+    note(succeeded);
+    Thread.sleep(backoff.delayMillis(ThreadLocalRandom.current()));
+  }
+
+  private void note(boolean succeeded) {
+    if (succeeded != reachable) {
+      LOG.info(succeeded ? "The store answers." : "The store does not answer.");
+    }
+    reachable = succeeded;
+    backoff = succeeded ? backoff.onSuccess() : backoff.onFailure();
+  }
+
+  private boolean readHead() {
+    long startedMillis = clock.monotonicMillis();
+    Either<PlatformFailure, Optional<Row>> read = platform.table().read(Head.KEY);
+    if (read.isLeft()) {
+      return false;
+    }
+    HeadKnowledge head =
+        read.get()
+            .map(row -> new HeadKnowledge(row.version(), Json.readOwn(row.value(), Head.class)))
+            .orElse(HeadKnowledge.none());
+    keeper.observeRead(head, startedMillis);
+    keeper.load();
+    return true;
+  }
+
+  private void readMembers() {
+    platform
+        .table()
+        .read(MemberSet.KEY)
+        .forEach(
+            row ->
+                row.ifPresent(
+                    found -> observeMembers(Json.readOwn(found.value(), MemberSet.class), found)));
+  }
+
+  private void observeMembers(MemberSet members, Row row) {
+    fleet.update(view -> view.withMembers(members, row.version()));
+    keeper.observeMembers(members);
+  }
+
+  private void readVms() {
+    platform
+        .table()
+        .scan(VmOwnership.PREFIX)
+        .forEach(rows -> fleet.update(view -> view.withVms(toOwnerships(rows))));
+  }
+
+  static ImmutableMap<String, Versioned<VmOwnership>> toOwnerships(ImmutableList<Row> rows) {
+    ImmutableMap.Builder<String, Versioned<VmOwnership>> vms = ImmutableMap.builder();
+    for (Row row : rows) {
+      VmOwnership vm = Json.readOwn(row.value(), VmOwnership.class);
+      vms.put(vm.vm(), new Versioned<>(vm, row.version()));
+    }
+    return vms.buildOrThrow();
+  }
+
+  private void readAllotments() {
+    platform
+        .table()
+        .scan(AllotmentRow.prefix())
+        .forEach(
+            rows ->
+                rows.forEach(
+                    row ->
+                        onAllotment.accept(
+                            Json.readOwn(row.value(), AllotmentRow.class), row.version())));
+  }
+
+  private void readListing() {
+    long startedMillis = clock.monotonicMillis();
+    platform
+        .vms()
+        .list()
+        .forEach(listing -> fleet.update(view -> view.withListing(listing, startedMillis)));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as a process. */
+package org.sassafraslink.daemon.process;
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/DispatchEvent.java
@@ -0,0 +1,21 @@
+package org.sassafraslink.daemon.request;
+
+import org.sassafraslink.rules.process.AllotmentRow;
+
+/** What the dispatcher's thread takes from its ring. */
+sealed interface DispatchEvent {
+  /** A call that may be queued. */
+  record Arrived(PendingCall call) implements DispatchEvent {}
+
+  /** An attempt that ended. */
+  record Ended(PendingCall call, String vm, ExchangeOutcome outcome) implements DispatchEvent {}
+
+  /** An allotment row that was read. */
+  record RowRead(AllotmentRow row, long version) implements DispatchEvent {}
+
+  /** The end of a write of an allotment row. */
+  record WriteEnded(String team, TeamUnits.WriteResult result) implements DispatchEvent {}
+
+  /** Wakes the thread. */
+  record Wake() implements DispatchEvent {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/TeamUnits.java
@@ -0,0 +1,129 @@
+package org.sassafraslink.daemon.request;
+
+import java.util.Map;
+import java.util.Optional;
+import org.sassafraslink.rules.process.AllotmentHolder;
+import org.sassafraslink.rules.process.AllotmentPolicy;
+import org.sassafraslink.rules.process.AllotmentPolicy.Situation;
+import org.sassafraslink.rules.process.AllotmentRow;
+
+/** A team's allotment at this process; confined to the dispatcher's thread. */
+final class TeamUnits {
+  private static final long RETRY_MILLIS = 200;
+
+  private AllotmentHolder holder;
+  private boolean writeInFlight;
+  private long retryAtMillis;
+  private long idleSinceMillis;
+  private int waiting;
+
+  private TeamUnits(AllotmentHolder holder, long nowMillis) {
+    this.holder = holder;
+    this.idleSinceMillis = nowMillis;
+  }
+
+  static TeamUnits create(String self, String team, long nowMillis) {
+    return new TeamUnits(AllotmentHolder.create(self, team), nowMillis);
+  }
+
+  AllotmentHolder holder() {
+    return holder;
+  }
+
+  int waiting() {
+    return waiting;
+  }
+
+  void addWaiting(int change) {
+    waiting += change;
+  }
+
+  /** Units that waiting requests lack. */
+  int unmet() {
+    int spare = Math.max(0, holder.held() - holder.running());
+    return Math.max(0, waiting - spare);
+  }
+
+  boolean mayStart(int limitInForce) {
+    return holder.mayStart(limitInForce);
+  }
+
+  void start(long nowMillis) {
+    holder = holder.start();
+    noteUse(nowMillis);
+  }
+
+  void finish() {
+    holder = holder.finish();
+  }
+
+  /** Restarts the idle time while all units are in use or wanted. */
+  void noteUse(long nowMillis) {
+    if (holder.running() + waiting >= holder.held()) {
+      idleSinceMillis = nowMillis;
+    }
+  }
+
+  void observe(AllotmentRow row, long version) {
+    holder = holder.observe(row, version);
+  }
+
+  /** The write to send now, already noted as in flight. */
+  Optional<AllotmentHolder.PendingWrite> nextWrite(
+      int limit,
+      long configVersion,
+      int livingMembers,
+      Map<String, Integer> unmetOfPeers,
+      int jobUnmet,
+      long nowMillis) {
+    noteUse(nowMillis);
+    if (writeInFlight || nowMillis < retryAtMillis) {
+      return Optional.empty();
+    }
+    Situation situation =
+        new Situation(
+            limit,
+            configVersion,
+            livingMembers,
+            waiting,
+            nowMillis - idleSinceMillis,
+            unmetOfPeers,
+            jobUnmet);
+    Optional<AllotmentRow> next = AllotmentPolicy.nextRow(holder, situation);
+    if (next.isEmpty()) {
+      return Optional.empty();
+    }
+    if (holder.pending().isEmpty()) {
+      holder = holder.beginWrite(next.get());
+    }
+    writeInFlight = true;
+    return holder.pending();
+  }
+
+  void settle(WriteResult result, long nowMillis) {
+    writeInFlight = false;
+    if (result instanceof WriteResult.Committed committed) {
+      holder = holder.committed(committed.version());
+    } else if (result instanceof WriteResult.Lost) {
+      holder = holder.answerLost();
+      retryAtMillis = nowMillis + RETRY_MILLIS;
+    } else if (result instanceof WriteResult.Refused) {
+      holder = holder.refused();
+      retryAtMillis = nowMillis + RETRY_MILLIS;
+    }
+  }
+
+  /** How the write of an allotment row ended. */
+  sealed interface WriteResult {
+    record Committed(long version) implements WriteResult {}
+
+    /** The answer was lost; the write may have taken effect, or still may. */
+    record Lost() implements WriteResult {}
+
+    /** The attempt certainly had no effect. */
+    record Refused() implements WriteResult {}
+
+    /** Another process changed the row first; its read follows. */
+    record Overtaken() implements WriteResult {}
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/version/Publisher.java
@@ -0,0 +1,314 @@
+package org.sassafraslink.daemon.version;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.LongSupplier;
+import org.sassafraslink.api.Digests;
+import org.sassafraslink.api.Json;
+import org.sassafraslink.api.failure.Failure;
+import org.sassafraslink.api.failure.FailureType;
+import org.sassafraslink.api.model.AuditEntry;
+import org.sassafraslink.api.model.AuditEntry.Change;
+import org.sassafraslink.api.model.FleetConfig;
+import org.sassafraslink.api.model.Head;
+import org.sassafraslink.api.model.Head.Intent;
+import org.sassafraslink.api.platform.ObjectStore;
+import org.sassafraslink.api.platform.PlatformFailure;
+import org.sassafraslink.api.platform.Row;
+import org.sassafraslink.api.platform.TableService;
+import org.sassafraslink.api.platform.Transaction;
+import org.sassafraslink.config.ConfigDiff;
+import org.sassafraslink.daemon.process.Versioned;
+import org.sassafraslink.rules.process.MemberSet;
+import org.sassafraslink.rules.version.HeadKnowledge;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Has a configuration accepted.
+ *
+ * <p>The steps are: store the object; write an intent into the head row; tell a majority of the
+ * members of it; commit the version together with its audit entry. The commit checks the head row
+ * and the member row as they were when the majority was counted, so it fails if either moved.
+ */
+public final class Publisher {
+  private static final Logger LOG = LoggerFactory.getLogger("publish");
+  private static final Duration ANNOUNCE_TIMEOUT = Duration.ofMillis(1_500);
+
+  /** Age at which an intent whose publisher fell silent may be replaced, in ms. */
+  private static final long ABANDONED_INTENT_MILLIS = 15_000;
+
+  private static final int READ_BACKS = 5;
+  private static final long READ_BACK_MILLIS = 200;
+
+  /** Tells the members of a head row and returns those that know it. */
+  @FunctionalInterface
+  public interface Announcer {
+    /** Announces {@code head} and waits for at most {@code timeout}. */
+    List<String> announce(HeadKnowledge head, Duration timeout);
+  }
+
+  /** What an operator asks for: {@code base} is the version that the operator had read. */
+  public record Proposal(long base, FleetConfig config, String author) {}
+
+  /** An accepted version. */
+  public record Accepted(long version, String digest, ImmutableList<Change> changes) {}
+
+  /** The rows on which a publish is based. */
+  private record Basis(Versioned<Head> head, Versioned<MemberSet> members) {}
+
+  private final TableService table;
+  private final ObjectStore objects;
+  private final Announcer announcer;
+  private final ConfigKeeper keeper;
+  private final LongSupplier wallClock;
+
+  private Publisher(
+      TableService table,
+      ObjectStore objects,
+      Announcer announcer,
+      ConfigKeeper keeper,
+      LongSupplier wallClock) {
+    this.table = table;
+    this.objects = objects;
+    this.announcer = announcer;
+    this.keeper = keeper;
+    this.wallClock = wallClock;
+  }
+
+  /** Creates a publisher. */
+  public static Publisher create(
+      TableService table,
+      ObjectStore objects,
+      Announcer announcer,
+      ConfigKeeper keeper,
+      LongSupplier wallClock) {
+    return new Publisher(table, objects, announcer, keeper, wallClock);
+  }
+
+  /** Has {@code proposal} accepted, or says why not. */
+  public Either<Failure, Accepted> publish(Proposal proposal) {
+    Either<Failure, Basis> basis = readBasis();
+    return basis.flatMap(read -> publishOn(read, proposal));
+  }
+
+  private Either<Failure, Accepted> publishOn(Basis basis, Proposal proposal) {
+    Head head = basis.head().value();
+    if (head.version() != proposal.base()) {
+      return Either.left(conflict(head, proposal));
+    }
+    long nowMillis = wallClock.getAsLong();
+    Optional<Intent> other =
+        head.intent().filter(intent -> nowMillis - intent.atMillis() < ABANDONED_INTENT_MILLIS);
+    if (other.isPresent()) {
+      return Either.left(
+          Failure.of(
+              FailureType.CONFIGURATION_CONFLICT,
+              "Operator " + other.get().author() + " is publishing now."));
+    }
+    String content = Json.write(proposal.config());
+    String digest = Digests.of(content);
+    Intent intent = new Intent(UUID.randomUUID().toString(), digest, proposal.author(), nowMillis);
+    if (objects.put(digest, content).isLeft()) {
+      return Either.left(storeUnavailable());
+    }
+    keeper.cacheObject(digest, content);
+    return announce(basis, head.announce(intent))
+        .flatMap(announced -> confirm(basis, announced, intent))
+        .flatMap(announced -> commit(basis, announced, intent, proposal));
+  }
+
+  private Either<Failure, Versioned<Head>> announce(Basis basis, Head announced) {
+    Either<PlatformFailure, Long> written =
+        table.transact(
+            Transaction.compareAndSet(Head.KEY, basis.head().version(), Json.write(announced)));
+    if (written.isRight()) {
+      return Either.right(new Versioned<>(announced, written.get()));
+    }
+    if (written.getLeft() instanceof PlatformFailure.Unavailable) {
+      return Either.left(storeUnavailable());
+    }
+    // The answer was lost or another operator was first: the row tells which.
+    return readBack(Head.KEY)
+        .filter(row -> Json.readOwn(row.value(), Head.class).equals(announced))
+        .<Either<Failure, Versioned<Head>>>map(
+            row -> Either.right(new Versioned<>(announced, row.version())))
+        .orElseGet(() -> Either.left(overtaken()));
+  }
+
+  private Either<Failure, Versioned<Head>> confirm(
+      Basis basis, Versioned<Head> announced, Intent intent) {
+    List<String> knowing =
+        announcer.announce(
+            new HeadKnowledge(announced.version(), announced.value()), ANNOUNCE_TIMEOUT);
+    if (basis.members().value().isMajority(knowing)) {
+      return Either.right(announced);
+    }
+    // If this write is lost, the intent is replaced by a later publish.
+    var unused =
+        table.transact(
+            Transaction.compareAndSet(
+                Head.KEY, announced.version(), Json.write(announced.value().withdrawIntent())));
+    LOG.warn("Only {} members know of {}.", knowing.size(), intent.operation());
+    return Either.left(
+        Failure.of(
+            FailureType.CONFIGURATION_UNCONFIRMED,
+            "Only " + knowing.size() + " entry daemons could be reached, which is no majority."));
+  }
+
+  private Either<Failure, Accepted> commit(
+      Basis basis, Versioned<Head> announced, Intent intent, Proposal proposal) {
+    Head next = announced.value().accept(intent);
+    FleetConfig before = config(basis.head().value().digest()).orElse(FleetConfig.empty());
+    ImmutableList<Change> changes = ConfigDiff.between(before, proposal.config());
+    AuditEntry audit =
+        new AuditEntry(
+            next.version(),
+            intent.operation(),
+            proposal.author(),
+            intent.atMillis(),
+            intent.digest(),
+            changes);
+    String auditKey = AuditEntry.key(next.version());
+    Transaction transaction =
+        Transaction.compareAndSet(Head.KEY, announced.version(), Json.write(next))
+            .check(MemberSet.KEY, basis.members().version())
+            .check(auditKey, Row.ABSENT)
+            .put(auditKey, Json.write(audit));
+    Accepted accepted = new Accepted(next.version(), intent.digest(), changes);
+    Either<PlatformFailure, Long> written = table.transact(transaction);
+    for (int i = 0; written.isLeft() && i < READ_BACKS; i++) {
+      Optional<Row> row = readBack(auditKey);
+      if (row.isPresent()) {
+        boolean isMine =
+            Json.readOwn(row.get().value(), AuditEntry.class)
+                .operation()
+                .equals(intent.operation());
+        return isMine ? accepted(accepted) : Either.left(overtaken());
+      }
+      if (written.getLeft() instanceof PlatformFailure.Conflict) {
+        return Either.left(overtaken());
+      }
+      // The same compare-and-set may be sent again: at most one of its copies takes effect.
+      written = table.transact(transaction);
+    }
+    return written.isRight()
+        ? accepted(accepted)
+        : Either.left(
+            Failure.of(
+                FailureType.STORE_OUTCOME_UNKNOWN,
+                "The store did not say whether version " + next.version() + " was accepted."));
+  }
+
+  private Either<Failure, Accepted> accepted(Accepted accepted) {
+    LOG.info("Version {} is accepted.", accepted.version());
+    readBack(Head.KEY)
+        .ifPresent(
+            row ->
+                announcer.announce(
+                    new HeadKnowledge(row.version(), Json.readOwn(row.value(), Head.class)),
+                    ANNOUNCE_TIMEOUT));
+    return Either.right(accepted);
+  }
+
+  /** A conflict that names a field changed by both, and who changed it. */
+  private Failure conflict(Head head, Proposal proposal) {
+    ImmutableList<Change> mine =
+        config(digestOf(proposal.base()))
+            .map(base -> ConfigDiff.between(base, proposal.config()))
+            .orElse(ImmutableList.of());
+    for (long version = head.version(); version > proposal.base(); version--) {
+      Optional<AuditEntry> entry = auditEntry(version);
+      Optional<String> field = entry.flatMap(found -> ConfigDiff.overlap(mine, found.changes()));
+      if (field.isPresent()) {
+        return Failure.of(
+            FailureType.CONFIGURATION_CONFLICT,
+            "Field "
+                + field.get()
+                + " was changed by "
+                + entry.get().author()
+                + " in version "
+                + version
+                + ".");
+      }
+    }
+    return Failure.of(
+        FailureType.CONFIGURATION_CONFLICT,
+        "Version "
+            + head.version()
+            + " by "
+            + head.author()
+            + " is in force, not version "
+            + proposal.base()
+            + "; no field was changed by both.");
+  }
+
+  private String digestOf(long version) {
+    return auditEntry(version).map(AuditEntry::digest).orElse("");
+  }
+
+  private Optional<AuditEntry> auditEntry(long version) {
+    return readBack(AuditEntry.key(version))
+        .map(row -> Json.readOwn(row.value(), AuditEntry.class));
+  }
+
+  private Optional<FleetConfig> config(String digest) {
+    if (digest.isEmpty()) {
+      return Optional.of(FleetConfig.empty());
+    }
+    return keeper
+        .cachedObject(digest)
+        .or(() -> objects.get(digest).getOrElse(Optional.empty()))
+        .map(content -> Json.readOwn(content, FleetConfig.class));
+  }
+
+  private Either<Failure, Basis> readBasis() {
+    Either<PlatformFailure, Optional<Row>> head = table.read(Head.KEY);
+    Either<PlatformFailure, Optional<Row>> members = table.read(MemberSet.KEY);
+    if (head.isLeft() || members.isLeft()) {
+      return Either.left(storeUnavailable());
+    }
+    return Either.right(
+        new Basis(
+            versioned(head.get(), Head.class, Head.initial()),
+            versioned(members.get(), MemberSet.class, MemberSet.empty())));
+  }
+
+  private static <T> Versioned<T> versioned(Optional<Row> row, Class<T> type, T absent) {
+    return row.map(found -> new Versioned<>(Json.readOwn(found.value(), type), found.version()))
+        .orElse(new Versioned<>(absent, Row.ABSENT));
+  }
+
+  private Optional<Row> readBack(String key) {
+    for (int i = 0; i < READ_BACKS; i++) {
+      Either<PlatformFailure, Optional<Row>> read = table.read(key);
+      if (read.isRight()) {
+        return read.get();
+      }
+      pause();
+    }
+    return Optional.empty();
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(READ_BACK_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static Failure storeUnavailable() {
+    return Failure.of(FailureType.STORE_UNAVAILABLE, "The store does not answer; nothing changed.");
+  }
+
+  private static Failure overtaken() {
+    return Failure.of(
+        FailureType.CONFIGURATION_CONFLICT,
+        "Another operator or a change of members came first; nothing changed.");
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sassafraslink/daemon/version/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as a version. */
+package org.sassafraslink.daemon.version;
--- /dev/null
+++ b/rules/src/main/java/org/sassafraslink/rules/process/AllotmentPolicy.java
@@ -0,0 +1,95 @@
+package org.sassafraslink.rules.process;
+
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Decides the next change of a team's allotment row that one process should write.
+ *
+ * <p>Each process keeps an even part of the limit, so that it can serve on during an outage of the
+ * store. Above that, units follow demand: they are taken from the free ones, and handed to the peer
+ * with the largest unmet need once they have been idle for a while. The idle time is hysteresis
+ * against moving units back and forth.
+ */
+public final class AllotmentPolicy {
+  /** Time for which a unit must be idle before a peer with unmet need gets it, in ms. */
+  public static final long LEND_AFTER_IDLE_MILLIS = 250;
+
+  /** Time for which a unit must be idle before it is returned without a need, in ms. */
+  public static final long RETURN_AFTER_IDLE_MILLIS = 10_000;
+
+  /**
+   * What a process knows when it decides.
+   *
+   * @param waiting requests of the team that wait here for a unit
+   * @param idleMillis for how long units have been idle here
+   * @param unmetOfPeers units that each living peer lacks
+   * @param jobUnmet free units that waiting jobs lack
+   */
+  public record Situation(
+      int limit,
+      long configVersion,
+      int livingMembers,
+      int waiting,
+      long idleMillis,
+      Map<String, Integer> unmetOfPeers,
+      int jobUnmet) {}
+
+  private AllotmentPolicy() {}
+
+  /** The row to write next; empty if the row should stay as it is. */
+  public static Optional<AllotmentRow> nextRow(AllotmentHolder holder, Situation situation) {
+    if (holder.pending().isPresent()) {
+      return Optional.of(holder.pending().get().proposed());
+    }
+    AllotmentRow row = holder.row();
+    if (situation.configVersion() < row.limitVersion()) {
+      // This process has an old configuration and must not raise what a later one lowered.
+      return Optional.empty();
+    }
+    AllotmentRow limited = row.withLimit(situation.limit(), situation.configVersion());
+    AllotmentRow next = adjust(limited, holder, situation);
+    boolean isChanged = !next.units().equals(row.units()) || next.limit() != row.limit();
+    return isChanged ? Optional.of(next) : Optional.empty();
+  }
+
+  private static AllotmentRow adjust(
+      AllotmentRow row, AllotmentHolder holder, Situation situation) {
+    int held = row.unitsOf(holder.self());
+    int idle = Math.max(0, held - holder.running() - situation.waiting());
+    if (row.free() < 0) {
+      return row.shrink(holder.self(), Math.min(held - holder.running(), -row.free()));
+    }
+    int needed = holder.running() + situation.waiting();
+    int evenPart = row.limit() / Math.max(1, situation.livingMembers());
+    // While jobs wait for units, no process takes more than its requests need.
+    int target = situation.jobUnmet() > 0 ? needed : Math.max(evenPart, needed);
+    if (held < target && row.free() > 0) {
+      return row.grow(holder.self(), target - held);
+    }
+    boolean mayLend = idle > 0 && situation.idleMillis() >= LEND_AFTER_IDLE_MILLIS;
+    if (mayLend && situation.jobUnmet() > row.free()) {
+      return row.shrink(holder.self(), Math.min((idle + 1) / 2, situation.jobUnmet()));
+    }
+    Optional<String> needy = neediest(situation.unmetOfPeers());
+    if (mayLend && needy.isPresent()) {
+      int lent = Math.min((idle + 1) / 2, situation.unmetOfPeers().get(needy.get()));
+      return row.transfer(holder.self(), needy.get(), lent);
+    }
+    int excess = Math.min(idle, held - evenPart);
+    if (excess > 0 && situation.idleMillis() >= RETURN_AFTER_IDLE_MILLIS) {
+      return row.shrink(holder.self(), excess);
+    }
+    return row;
+  }
+
+  private static Optional<String> neediest(Map<String, Integer> unmet) {
+    return unmet.entrySet().stream()
+        .filter(entry -> entry.getValue() > 0)
+        .max(
+            Comparator.comparing(Map.Entry<String, Integer>::getValue)
+                .thenComparing(Map.Entry::getKey))
+        .map(Map.Entry::getKey);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sassafraslink/standins/TableStandIn.java
@@ -0,0 +1,110 @@
+package org.sassafraslink.standins;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.sassafraslink.api.Json;
+import org.sassafraslink.api.platform.PlatformFailure;
+import org.sassafraslink.api.platform.Row;
+import org.sassafraslink.api.platform.TableService;
+import org.sassafraslink.api.platform.Transaction;
+
+/** An in-memory table with a journal, so that it outlives a kill of its process. */
+public final class TableStandIn implements TableService {
+  private final TreeMap<String, Row> rows = new TreeMap<>();
+  private final Optional<Path> journal;
+  private long lastVersion;
+  private long reads;
+  private long writes;
+
+  private TableStandIn(Optional<Path> journal) {
+    this.journal = journal;
+  }
+
+  /** Creates a table that forgets everything when its process ends. */
+  public static TableStandIn inMemory() {
+    return new TableStandIn(Optional.empty());
+  }
+
+  /** Creates a table from the journal at {@code path}, which may not exist yet. */
+  public static TableStandIn journaled(Path path) throws IOException {
+    TableStandIn table = new TableStandIn(Optional.of(path));
+    if (Files.exists(path)) {
+      for (String line : Files.readAllLines(path)) {
+        table.apply(Json.readOwn(line, Transaction.class));
+      }
+    }
+    return table;
+  }
+
+  @Override
+  public synchronized Either<PlatformFailure, Optional<Row>> read(String key) {
+    reads++;
+    return Either.right(Optional.ofNullable(rows.get(key)));
+  }
+
+  @Override
+  public synchronized Either<PlatformFailure, ImmutableList<Row>> scan(String prefix) {
+    reads++;
+    return Either.right(
+        ImmutableList.copyOf(rows.subMap(prefix, prefix + Character.MAX_VALUE).values()));
+  }
+
+  @Override
+  public synchronized Either<PlatformFailure, Long> transact(Transaction transaction) {
+    for (Transaction.Check check : transaction.checks()) {
+      long actual = Optional.ofNullable(rows.get(check.key())).map(Row::version).orElse(Row.ABSENT);
+      if (actual != check.version()) {
+        return Either.left(new PlatformFailure.Conflict(check.key(), actual));
+      }
+    }
+    writes++;
+    append(transaction);
+    return Either.right(apply(transaction));
+  }
+
+  /** The number of reads served since the start. */
+  public synchronized long reads() {
+    return reads;
+  }
+
+  /** The number of transactions committed since the start. */
+  public synchronized long writes() {
+    return writes;
+  }
+
+  private long apply(Transaction transaction) {
+    lastVersion++;
+    for (Transaction.Write write : transaction.writes()) {
+      if (write.value().isPresent()) {
+        rows.put(write.key(), new Row(write.key(), lastVersion, write.value().get()));
+      } else {
+        rows.remove(write.key());
+      }
+    }
+    return lastVersion;
+  }
+
+  private void append(Transaction transaction) {
+    journal.ifPresent(
+        path -> {
+          try {
+            Files.writeString(
+                path,
+                Json.write(transaction) + "\n",
+                StandardCharsets.UTF_8,
+                StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND);
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sassafraslink/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Small stand-ins of the platform, backend servers, workers and callers; nothing here ships. */
+package org.sassafraslink.standins;
