--- a/daemon/src/main/java/org/sassafraslink/daemon/connection/PeerExchange.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/connection/PeerExchange.java
@@ -1,7 +1,8 @@
 package org.sassafraslink.daemon.connection;
 
 import com.google.common.collect.ImmutableMap;
-import io.netty.channel.EventLoopGroup;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -16,14 +17,18 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.sassafraslink.api.Json;
 import org.sassafraslink.daemon.process.FleetState;
+import org.sassafraslink.daemon.process.FleetView;
+import org.sassafraslink.daemon.process.Versioned;
 import org.sassafraslink.daemon.request.LoadReport;
 import org.sassafraslink.daemon.version.ConfigKeeper;
 import org.sassafraslink.rules.process.MemberSet.Member;
+import org.sassafraslink.rules.process.VmOwnership;
 import org.sassafraslink.rules.version.Freshness;
 import org.sassafraslink.rules.version.Freshness.PeerHead;
 import org.sassafraslink.rules.version.HeadKnowledge;
-import org.sassafraslink.wire.PeerClient;
+import org.sassafraslink.wire.generated.AnnouncedDrain;
 import org.sassafraslink.wire.generated.Announcement;
 import org.sassafraslink.wire.generated.AnnouncementAck;
 import org.sassafraslink.wire.generated.Answer;
@@ -31,6 +36,7 @@
 import org.sassafraslink.wire.generated.ObjectAnswer;
 import org.sassafraslink.wire.generated.ObjectRequest;
 import org.sassafraslink.wire.generated.Question;
+import org.sassafraslink.wire.generated.VmRow;
 
 /**
  * Asks the other daemons what they know, and answers them.
@@ -39,7 +45,7 @@
  * address has another id and has promised nothing.
  */
 public final class PeerExchange {
-  private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
+  private static final long FETCH_TIMEOUT_MILLIS = 800;
 
   /** Age after which a peer's load is no longer believed, in ms. */
   private static final long LOAD_MAX_AGE_MILLIS = 3_000;
@@ -50,24 +56,23 @@
   private record TimedLoad(LoadReport load, long atMillis) {}
 
   private final String self;
-  private final EventLoopGroup loops;
+  private final PeerTransport transport;
   private final ConfigKeeper keeper;
   private final FleetState fleet;
   private final Supplier<LoadReport> ownLoad;
   private final LongSupplier clock;
-  private final Map<String, PeerClient> clients = new ConcurrentHashMap<>();
   private final Map<String, TimedLoad> loads = new ConcurrentHashMap<>();
   private final Map<String, PeerState> states = new ConcurrentHashMap<>();
 
   private PeerExchange(
       String self,
-      EventLoopGroup loops,
+      PeerTransport transport,
       ConfigKeeper keeper,
       FleetState fleet,
       Supplier<LoadReport> ownLoad,
       LongSupplier clock) {
     this.self = self;
-    this.loops = loops;
+    this.transport = transport;
     this.keeper = keeper;
     this.fleet = fleet;
     this.ownLoad = ownLoad;
@@ -77,12 +82,12 @@
   /** Creates the exchange of the process {@code self}. */
   public static PeerExchange create(
       String self,
-      EventLoopGroup loops,
+      PeerTransport transport,
       ConfigKeeper keeper,
       FleetState fleet,
       Supplier<LoadReport> ownLoad,
       LongSupplier clock) {
-    return new PeerExchange(self, loops, keeper, fleet, ownLoad, clock);
+    return new PeerExchange(self, transport, keeper, fleet, ownLoad, clock);
   }
 
   /** Asks each living member once. */
@@ -123,20 +128,32 @@
    * included.
    */
   public List<String> announce(HeadKnowledge head, Duration timeout) {
-    Envelope.Builder message =
-        Envelope.newBuilder()
-            .setFrom(self)
-            .setAnnouncement(Announcement.newBuilder().setHead(HeadCodec.toMessage(head)));
+    Announcement announcement =
+        Announcement.newBuilder().setHead(HeadCodec.toMessage(head)).build();
+    return announce(announcement, head.revision(), timeout);
+  }
+
+  /**
+   * Tells all members of VMs that are about to be drained and returns the ids of those that give
+   * them no new work from now on, this process included.
+   */
+  public List<String> announceDrains(Iterable<String> vms, Duration timeout) {
+    fleet.update(view -> view.withAnnouncedDrains(at(vms, clock.getAsLong())));
+    return announce(Announcement.newBuilder().addAllDrainingVms(vms).build(), 0, timeout);
+  }
+
+  private List<String> announce(Announcement announcement, long revision, Duration timeout) {
+    Envelope.Builder message = Envelope.newBuilder().setFrom(self).setAnnouncement(announcement);
     Map<String, CompletableFuture<Envelope>> answers = new LinkedHashMap<>();
     for (Member member : peers()) {
-      answers.put(member.id(), client(member).ask(message.clone()));
+      answers.put(member.id(), transport.ask(member.address(), message.clone()));
     }
     List<String> knowing = new ArrayList<>();
     knowing.add(self);
     long endMillis = clock.getAsLong() + timeout.toMillis();
     answers.forEach(
         (member, answer) -> {
-          if (isAcknowledged(member, answer, head.revision(), endMillis)) {
+          if (isAcknowledged(member, answer, revision, endMillis)) {
             knowing.add(member);
           }
         });
@@ -151,7 +168,7 @@
             .setObjectRequest(ObjectRequest.newBuilder().setDigest(digest));
     for (Member member : peers()) {
       Optional<Envelope> answer =
-          await(client(member).ask(message.clone()), CALL_TIMEOUT.toMillis());
+          await(transport.ask(member.address(), message.clone()), FETCH_TIMEOUT_MILLIS);
       Optional<String> content =
           answer
               .map(envelope -> envelope.getObjectAnswer().getContent())
@@ -185,7 +202,12 @@
         new TimedLoad(LoadCodec.fromMessage(question.getLoad()), clock.getAsLong()));
     Freshness state = keeper.freshness();
     OptionalLong age = state.evidenceAge(clock.getAsLong());
+    FleetView view = fleet.view();
     return Answer.newBuilder()
+        .addAllVmRows(rowsAfter(view, question.getVmsVersion()))
+        .addAllDrains(drains(view, clock.getAsLong()))
+        .addAllLeavingVms(
+            view.isListingFresh(clock.getAsLong()) ? view.leaving() : view.leavingAtPeers())
         .setHead(HeadCodec.toMessage(state.known()))
         .setMemberEpoch(state.members().epoch())
         .setEvidenceAgeMillis(age.orElse(-1))
@@ -193,9 +215,35 @@
         .build();
   }
 
+  private static List<VmRow> rowsAfter(FleetView view, long version) {
+    return view.vms().values().stream()
+        .filter(row -> row.version() > version)
+        .map(
+            row ->
+                VmRow.newBuilder()
+                    .setVersion(row.version())
+                    .setValue(Json.write(row.value()))
+                    .build())
+        .toList();
+  }
+
+  private static List<AnnouncedDrain> drains(FleetView view, long nowMillis) {
+    return view.announcedDrains().entrySet().stream()
+        .map(
+            drain ->
+                AnnouncedDrain.newBuilder()
+                    .setVm(drain.getKey())
+                    .setAgeMillis(nowMillis - drain.getValue())
+                    .build())
+        .toList();
+  }
+
   private AnnouncementAck acknowledge(Announcement announcement) {
-    HeadKnowledge announced = HeadCodec.fromMessage(announcement.getHead());
-    keeper.observeAnnouncement(announced);
+    if (announcement.hasHead()) {
+      keeper.observeAnnouncement(HeadCodec.fromMessage(announcement.getHead()));
+    }
+    fleet.update(
+        view -> view.withAnnouncedDrains(at(announcement.getDrainingVmsList(), clock.getAsLong())));
     return AnnouncementAck.newBuilder().setRevision(keeper.freshness().known().revision()).build();
   }
 
@@ -212,11 +260,12 @@
         Question.newBuilder()
             .setHead(HeadCodec.toMessage(state.known()))
             .setMemberEpoch(state.members().epoch())
+            .setVmsVersion(fleet.view().vmsVersion())
             .setLoad(LoadCodec.toMessage(ownLoad.get()))
             .build();
     long askedMillis = clock.getAsLong();
-    client(member)
-        .ask(Envelope.newBuilder().setFrom(self).setQuestion(question))
+    transport
+        .ask(member.address(), Envelope.newBuilder().setFrom(self).setQuestion(question))
         .thenAccept(envelope -> onAnswer(member, askedMillis, envelope));
   }
 
@@ -233,6 +282,8 @@
     if (!answer.getReady()) {
       return;
     }
+    // What the peer knows of VMs must be known here before its evidence counts.
+    fleet.update(view -> merge(view, askedMillis, answer));
     keeper.observeReply(
         member.id(),
         askedMillis,
@@ -240,6 +291,24 @@
             answer.getMemberEpoch(), head, OptionalLong.of(answer.getEvidenceAgeMillis())));
   }
 
+  private static ImmutableMap<String, Long> at(Iterable<String> vms, long millis) {
+    return Maps.toMap(ImmutableSet.copyOf(vms), vm -> millis);
+  }
+
+  private static FleetView merge(FleetView view, long askedMillis, Answer answer) {
+    Map<String, Versioned<VmOwnership>> rows = new LinkedHashMap<>();
+    for (VmRow row : answer.getVmRowsList()) {
+      VmOwnership vm = Json.readOwn(row.getValue(), VmOwnership.class);
+      rows.put(vm.vm(), new Versioned<>(vm, row.getVersion()));
+    }
+    Map<String, Long> drains = new LinkedHashMap<>();
+    // The age travels along, so that passing an announcement on does not renew it.
+    answer.getDrainsList().forEach(d -> drains.put(d.getVm(), askedMillis - d.getAgeMillis()));
+    return view.withAnnouncedDrains(drains)
+        .withRows(rows)
+        .withLeavingAtPeers(answer.getLeavingVmsList());
+  }
+
   private boolean isAcknowledged(
       String member, CompletableFuture<Envelope> answer, long revision, long endMillis) {
     long leftMillis = Math.max(1, endMillis - clock.getAsLong());
@@ -265,9 +334,4 @@
         .filter(member -> !member.id().equals(self))
         .toList();
   }
-
-  private PeerClient client(Member member) {
-    return clients.computeIfAbsent(
-        member.address(), address -> PeerClient.create(loops, address, CALL_TIMEOUT));
-  }
 }
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/Explainer.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Explainer.java
@@ -129,7 +129,7 @@
     if (service == null || !service.queues().containsKey(queueName)) {
       return Either.right(Explanation.of("No service has this queue."));
     }
-    if (fleet.view().usable(service.pool()).isEmpty()) {
+    if (fleet.view().usable(service.pool(), clock.monotonicMillis()).isEmpty()) {
       return Either.right(
           Explanation.of("No VM of pool " + service.pool() + " serves and is listed as live."));
     }
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/FleetState.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/FleetState.java
@@ -18,7 +18,8 @@
     return view.get();
   }
 
-  void update(UnaryOperator<FleetView> step) {
+  /** Replaces the view by {@code step} of it. */
+  public void update(UnaryOperator<FleetView> step) {
     view.updateAndGet(step);
   }
 }
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/Membership.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Membership.java
@@ -39,6 +39,7 @@
   private DeathProof deathProof;
   private long observedListing;
   private long joinEpoch;
+  private boolean wasRegistered;
 
   private Membership(
       Member self,
@@ -73,6 +74,16 @@
     return fleet.view().members().members().containsKey(self.id());
   }
 
+  /**
+   * Whether others have declared this process dead. It must then end: its units may be given to
+   * others once what it had sent before has ended.
+   */
+  boolean isEvicted() {
+    Member me = fleet.view().members().members().get(self.id());
+    wasRegistered |= me != null;
+    return wasRegistered && (me == null || me.standing() == Standing.DEAD);
+  }
+
   void round() {
     long nowMillis = clock.monotonicMillis();
     FleetView view = fleet.view();
@@ -99,6 +110,9 @@
   private void step(Versioned<MemberSet> read, long nowMillis) {
     MemberSet members = read.value();
     Member me = members.members().get(self.id());
+    if (isEvicted()) {
+      return;
+    }
     if (me == null) {
       write(read, members.register(self));
       return;
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/Node.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Node.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -16,6 +17,7 @@
 import org.sassafraslink.daemon.connection.EntryServer;
 import org.sassafraslink.daemon.connection.HttpBackendCaller;
 import org.sassafraslink.daemon.connection.JobRoutes;
+import org.sassafraslink.daemon.connection.NettyPeerTransport;
 import org.sassafraslink.daemon.connection.PeerExchange;
 import org.sassafraslink.daemon.request.AllotmentWriter;
 import org.sassafraslink.daemon.request.ClaimDesk;
@@ -36,8 +38,10 @@
   private static final Logger LOG = LoggerFactory.getLogger("process");
   private static final Duration DUTY_INTERVAL = Duration.ofMillis(300);
   private static final Duration MEMBER_INTERVAL = Duration.ofMillis(500);
+  private static final Duration PEER_TIMEOUT = Duration.ofMillis(800);
   private static final Duration NO_PAUSE = Duration.ZERO;
   private static final long STOP_POLL_MILLIS = 50;
+  private static final int EVICTED = 3;
   private static final int PEER_THREADS = 1;
   private static final int JOB_THREADS = 4;
   private static final long DEFAULT_LONGEST_RUN_MILLIS = 5_000;
@@ -83,12 +87,21 @@
             platform.table(),
             clock::monotonicMillis,
             clock::wallMillis,
+            Pause.sleeping(),
             call -> dispatcher().submit(call));
     this.dispatcher = createDispatcher();
     writer.connect(dispatcher);
     this.peers =
-        PeerExchange.create(self, loops, keeper, fleet, this::ownLoad, clock::monotonicMillis);
-    this.sync = StoreSync.create(platform, keeper, fleet, clock, dispatcher::onAllotmentRow);
+        PeerExchange.create(
+            self,
+            NettyPeerTransport.create(loops, PEER_TIMEOUT),
+            keeper,
+            fleet,
+            this::ownLoad,
+            clock::monotonicMillis);
+    this.sync =
+        StoreSync.create(
+            platform, keeper, fleet, clock, new SplittableRandom(), dispatcher::onAllotmentRow);
     this.membership = createMembership();
     this.planner = createPlanner();
     this.placer =
@@ -144,7 +157,13 @@
   private Planner createPlanner() {
     return Planner.create(
         new Planner.Surroundings(
-            platform, duty("planner"), fleet, clock, this::inForce, this::allLoads),
+            platform,
+            duty("planner"),
+            fleet,
+            clock,
+            this::inForce,
+            this::allLoads,
+            peers::announceDrains),
         settings.integer(Setting.ABSENCE_PROOF));
   }
 
@@ -162,7 +181,7 @@
     dispatcher.start();
     duties.add(Duty.start("allotments", NO_PAUSE, writer::round));
     duties.add(Duty.start("store", settings.duration(Setting.POLL), sync::round));
-    duties.add(Duty.start("members", MEMBER_INTERVAL, membership::round));
+    duties.add(Duty.start("members", MEMBER_INTERVAL, this::memberRound));
     duties.add(Duty.start("peers", settings.duration(Setting.PEER_INTERVAL), peers::round));
     duties.add(Duty.start("claims", NO_PAUSE, claims::round));
     duties.add(Duty.start("planner", DUTY_INTERVAL, planner::round));
@@ -193,7 +212,12 @@
   private AdminServer startAdmin(String host) {
     Publisher publisher =
         Publisher.create(
-            platform.table(), platform.objects(), peers::announce, keeper, clock::wallMillis);
+            platform.table(),
+            platform.objects(),
+            peers::announce,
+            keeper,
+            clock::wallMillis,
+            Pause.sleeping());
     StatusReader status =
         StatusReader.create(
             new StatusReader.Sources(
@@ -247,6 +271,15 @@
         () -> (double) fleet.view().members().alive().size());
   }
 
+  private void memberRound() {
+    membership.round();
+    if (membership.isEvicted() && !stopping) {
+      LOG.error("Other daemons declared this process dead. It ends, to start anew.");
+      // The dispatcher starts nothing for a process that is not registered as alive.
+      new Thread(() -> System.exit(EVICTED), "evicted").start();
+    }
+  }
+
   /** Stops gracefully: new work is refused, work in flight ends, units are returned. */
   void stop() {
     stopping = true;
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/Planner.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Planner.java
@@ -3,7 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
@@ -50,6 +52,8 @@
   /** Age of the VM list above which no disruption starts, in ms. */
   private static final long LISTING_MAX_AGE_MILLIS = 5_000;
 
+  private static final Duration ANNOUNCE_TIMEOUT = Duration.ofSeconds(1);
+
   /** Age at which the intent of a silent publisher is withdrawn, in ms. */
   private static final long ABANDONED_INTENT_MILLIS = 30_000;
 
@@ -60,7 +64,14 @@
       FleetState fleet,
       Clock clock,
       Supplier<Optional<ActiveConfig>> config,
-      Supplier<ImmutableMap<String, LoadReport>> loads) {}
+      Supplier<ImmutableMap<String, LoadReport>> loads,
+      DrainAnnouncer announcer) {}
+
+  /** Tells the members of drains and returns the ids of those that know them. */
+  @FunctionalInterface
+  interface DrainAnnouncer {
+    List<String> announce(Iterable<String> vms, Duration timeout);
+  }
 
   /** The rows and the list on which one round decides. */
   private record Situation(
@@ -283,9 +294,19 @@
     return changed;
   }
 
+  /**
+   * Whether a majority gives {@code vms} no new work from now on. A daemon that cannot read the
+   * rows learns of the drain from that majority, or stops for want of evidence.
+   */
+  private boolean isAnnounced(Iterable<String> vms) {
+    List<String> knowing = surroundings.announcer().announce(vms, ANNOUNCE_TIMEOUT);
+    return surroundings.fleet().view().members().isMajority(knowing);
+  }
+
   private boolean startMove(Situation situation) {
     Optional<Move> move = PoolPlan.nextMove(situation.config(), situation.planned());
     return move.filter(found -> mayDisrupt(situation, found.fromPool(), found.vm()))
+        .filter(found -> isAnnounced(ImmutableList.of(found.vm())))
         .filter(
             found -> {
               Versioned<VmOwnership> row = situation.vms().get(found.vm());
@@ -308,8 +329,11 @@
     for (MaintenancePlan plan : situation.config().plans().values()) {
       ImmutableSet<String> done = progress(plan.name(), plan.generation()).done();
       for (String pool : plan.pools()) {
-        WavePlan.next(situation.instances(pool), situation.budgets(pool), done)
-            .forEach(vm -> startReboot(situation, plan, vm));
+        ImmutableList<String> next =
+            WavePlan.next(situation.instances(pool), situation.budgets(pool), done);
+        if (!next.isEmpty() && isAnnounced(next)) {
+          next.forEach(vm -> startReboot(situation, plan, vm));
+        }
       }
     }
   }
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/StoreSync.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/StoreSync.java
@@ -4,8 +4,8 @@
 import com.google.common.collect.ImmutableMap;
 import io.vavr.control.Either;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
 import org.sassafraslink.api.Json;
 import org.sassafraslink.api.model.Head;
 import org.sassafraslink.api.platform.PlatformFailure;
@@ -34,6 +34,8 @@
   private final BiConsumer<AllotmentRow, Long> onAllotment;
   private Backoff backoff = Backoff.create(FIRST_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
   private long round;
+  private final RandomGenerator random;
+  private long notBeforeMillis;
   private volatile boolean reachable;
 
   private StoreSync(
@@ -41,11 +43,13 @@
       ConfigKeeper keeper,
       FleetState fleet,
       Clock clock,
+      RandomGenerator random,
       BiConsumer<AllotmentRow, Long> onAllotment) {
     this.platform = platform;
     this.keeper = keeper;
     this.fleet = fleet;
     this.clock = clock;
+    this.random = random;
     this.onAllotment = onAllotment;
   }
 
@@ -54,8 +58,9 @@
       ConfigKeeper keeper,
       FleetState fleet,
       Clock clock,
+      RandomGenerator random,
       BiConsumer<AllotmentRow, Long> onAllotment) {
-    return new StoreSync(platform, keeper, fleet, clock, onAllotment);
+    return new StoreSync(platform, keeper, fleet, clock, random, onAllotment);
   }
 
   /** Whether the last round read the head row. */
@@ -63,21 +68,23 @@
     return reachable;
   }
 
-  void round() throws InterruptedException {
+  void round() {
+    if (clock.monotonicMillis() < notBeforeMillis) {
+      return;
+    }
     boolean isSlowRound = round++ % SLOW_ROUNDS == 0;
     if (isSlowRound) {
       readListing();
     }
-    boolean succeeded = readHead();
+    boolean succeeded = readHeadAndVms();
     if (succeeded) {
       readMembers();
-      readVms();
       if (isSlowRound) {
         readAllotments();
       }
     }
     note(succeeded);
-    Thread.sleep(backoff.delayMillis(ThreadLocalRandom.current()));
+    notBeforeMillis = clock.monotonicMillis() + backoff.delayMillis(random);
   }
 
   private void note(boolean succeeded) {
@@ -88,12 +95,15 @@
     backoff = succeeded ? backoff.onSuccess() : backoff.onFailure();
   }
 
-  private boolean readHead() {
+  /** Reads both, since evidence that the configuration is the latest vouches for the VMs too. */
+  private boolean readHeadAndVms() {
     long startedMillis = clock.monotonicMillis();
+    Either<PlatformFailure, ImmutableList<Row>> vms = platform.table().scan(VmOwnership.PREFIX);
     Either<PlatformFailure, Optional<Row>> read = platform.table().read(Head.KEY);
-    if (read.isLeft()) {
+    if (read.isLeft() || vms.isLeft()) {
       return false;
     }
+    fleet.update(view -> view.withScan(toOwnerships(vms.get()), startedMillis));
     HeadKnowledge head =
         read.get()
             .map(row -> new HeadKnowledge(row.version(), Json.readOwn(row.value(), Head.class)))
@@ -118,13 +128,6 @@
     keeper.observeMembers(members);
   }
 
-  private void readVms() {
-    platform
-        .table()
-        .scan(VmOwnership.PREFIX)
-        .forEach(rows -> fleet.update(view -> view.withVms(toOwnerships(rows))));
-  }
-
   static ImmutableMap<String, Versioned<VmOwnership>> toOwnerships(ImmutableList<Row> rows) {
     ImmutableMap.Builder<String, Versioned<VmOwnership>> vms = ImmutableMap.builder();
     for (Row row : rows) {
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/AllotmentWriter.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/AllotmentWriter.java
@@ -46,7 +46,7 @@
 
   /** Sends the results of writes to {@code dispatcher}. */
   public void connect(Dispatcher dispatcher) {
-    results =
+    connect(
         new Results() {
           @Override
           public void onRow(AllotmentRow row, long version) {
@@ -57,7 +57,11 @@
           public void onEnd(String team, WriteResult result) {
             dispatcher.onWriteEnded(team, result);
           }
-        };
+        });
+  }
+
+  void connect(Results target) {
+    results = target;
   }
 
   /** Takes an order in; a full ring refuses it, which has no effect. */
@@ -69,7 +73,19 @@
 
   /** Writes the next order; waits for one. */
   public void round() throws InterruptedException {
-    Order order = ring.take();
+    write(ring.take());
+  }
+
+  /** Writes the next order, if there is one. */
+  boolean tryRound() {
+    Order order = ring.poll();
+    if (order != null) {
+      write(order);
+    }
+    return order != null;
+  }
+
+  private void write(Order order) {
     PendingWrite write = order.write();
     String key = AllotmentRow.key(order.team());
     Either<PlatformFailure, Long> committed =
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/ClaimDesk.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/ClaimDesk.java
@@ -18,6 +18,7 @@
 import org.sassafraslink.api.platform.Row;
 import org.sassafraslink.api.platform.TableService;
 import org.sassafraslink.api.platform.Transaction;
+import org.sassafraslink.daemon.process.Pause;
 import org.sassafraslink.daemon.request.CallResult.Answered;
 import org.sassafraslink.daemon.request.CallResult.Header;
 import org.sassafraslink.daemon.request.PendingCall.HeldClaim;
@@ -49,6 +50,7 @@
   private final TableService table;
   private final LongSupplier monotonicClock;
   private final LongSupplier wallClock;
+  private final Pause pause;
   private final Consumer<PendingCall> onClaimed;
   private final BlockingQueue<Task> ring = new ArrayBlockingQueue<>(RING_CAPACITY);
 
@@ -57,11 +59,13 @@
       TableService table,
       LongSupplier monotonicClock,
       LongSupplier wallClock,
+      Pause pause,
       Consumer<PendingCall> onClaimed) {
     this.self = self;
     this.table = table;
     this.monotonicClock = monotonicClock;
     this.wallClock = wallClock;
+    this.pause = pause;
     this.onClaimed = onClaimed;
   }
 
@@ -71,8 +75,9 @@
       TableService table,
       LongSupplier monotonicClock,
       LongSupplier wallClock,
+      Pause pause,
       Consumer<PendingCall> onClaimed) {
-    return new ClaimDesk(self, table, monotonicClock, wallClock, onClaimed);
+    return new ClaimDesk(self, table, monotonicClock, wallClock, pause, onClaimed);
   }
 
   /** Takes in a call with a request id; it completes here if it may not be sent. */
@@ -98,6 +103,20 @@
   public void round() throws InterruptedException {
     List<Task> tasks = new ArrayList<>();
     tasks.add(ring.take());
+    workOff(tasks);
+  }
+
+  /** Works off what waits, if anything does. */
+  void tryRound() throws InterruptedException {
+    Task first = ring.poll();
+    if (first != null) {
+      List<Task> tasks = new ArrayList<>();
+      tasks.add(first);
+      workOff(tasks);
+    }
+  }
+
+  private void workOff(List<Task> tasks) throws InterruptedException {
     ring.drainTo(tasks, BATCH - 1);
     ImmutableList<Task.ClaimFor> claims =
         tasks.stream()
@@ -157,7 +176,7 @@
       if (read.isRight() && step(task, read.get())) {
         return;
       }
-      Thread.sleep(RETRY_MILLIS);
+      pause.millis(RETRY_MILLIS);
     }
     unavailable(task.call());
   }
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/DispatchCore.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/DispatchCore.java
@@ -17,6 +17,7 @@
 import org.sassafraslink.rules.process.AllotmentRow;
 import org.sassafraslink.rules.process.MemberSet;
 import org.sassafraslink.rules.process.MemberSet.Member;
+import org.sassafraslink.rules.process.MemberSet.Standing;
 import org.sassafraslink.rules.request.FailureAfterSend;
 import org.sassafraslink.rules.request.FailureAfterSend.Exchange;
 import org.sassafraslink.rules.request.FairQueue;
@@ -63,7 +64,13 @@
 
   /** Takes in the configuration in force; empty if the process must refuse. */
   void configure(Optional<ActiveConfig> inForce) {
-    config = inForce;
+    // Units of a process that is not registered as alive may be given to others.
+    config = inForce.filter(active -> isRegistered());
+  }
+
+  private boolean isRegistered() {
+    Member me = surroundings.fleet().get().members().members().get(surroundings.self());
+    return me != null && me.standing() != Standing.DEAD;
   }
 
   void handle(DispatchEvent event, long nowMillis) {
@@ -84,10 +91,7 @@
     lanes.values().forEach(lane -> pump(lane, nowMillis));
     MemberSet members = surroundings.fleet().get().members();
     int living = members.alive().size();
-    // Units of a process that is not registered could never be reclaimed.
-    Optional<ActiveConfig> writable =
-        config.filter(active -> members.members().containsKey(surroundings.self()));
-    writable.ifPresent(
+    config.ifPresent(
         active ->
             teams
                 .writesDue(active, living, peers, nowMillis)
@@ -98,7 +102,7 @@
   /** Does what only time brings about: deadlines, units held after a broken exchange, views. */
   void tick(long nowMillis) {
     teams.releaseHeldUnits(nowMillis);
-    refreshLanes();
+    refreshLanes(nowMillis);
     for (ServiceLane lane : lanes.values()) {
       lane.queue().expire(nowMillis).forEach(entry -> expire(entry, nowMillis));
     }
@@ -304,7 +308,7 @@
     call.complete(new CallResult.Failed(failure));
   }
 
-  private void refreshLanes() {
+  private void refreshLanes(long nowMillis) {
     FleetView view = surroundings.fleet().get();
     ImmutableList<String> members =
         view.members().alive().stream().map(Member::id).collect(ImmutableList.toImmutableList());
@@ -315,7 +319,9 @@
                 .services()
                 .values()
                 .forEach(
-                    service -> lane(service).refresh(service, view, surroundings.self(), members)));
+                    service ->
+                        lane(service)
+                            .refresh(service, view, surroundings.self(), members, nowMillis)));
   }
 
   private Map<String, Integer> inFlightByVm() {
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/ServiceLane.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/ServiceLane.java
@@ -38,9 +38,10 @@
   }
 
   /** Takes in the latest configuration and view of the fleet. */
-  void refresh(Service next, FleetView view, String self, ImmutableList<String> members) {
+  void refresh(
+      Service next, FleetView view, String self, ImmutableList<String> members, long nowMillis) {
     service = next;
-    usable = view.usable(next.pool());
+    usable = view.usable(next.pool(), nowMillis);
     ImmutableMap.Builder<String, Integer> parts = ImmutableMap.builder();
     for (FleetView.Usable vm : usable) {
       String id = vm.vm().id();
--- a/daemon/src/main/java/org/sassafraslink/daemon/version/Publisher.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/version/Publisher.java
@@ -22,6 +22,7 @@
 import org.sassafraslink.api.platform.TableService;
 import org.sassafraslink.api.platform.Transaction;
 import org.sassafraslink.config.ConfigDiff;
+import org.sassafraslink.daemon.process.Pause;
 import org.sassafraslink.daemon.process.Versioned;
 import org.sassafraslink.rules.process.MemberSet;
 import org.sassafraslink.rules.version.HeadKnowledge;
@@ -66,18 +67,21 @@
   private final Announcer announcer;
   private final ConfigKeeper keeper;
   private final LongSupplier wallClock;
+  private final Pause pause;
 
   private Publisher(
       TableService table,
       ObjectStore objects,
       Announcer announcer,
       ConfigKeeper keeper,
-      LongSupplier wallClock) {
+      LongSupplier wallClock,
+      Pause pause) {
     this.table = table;
     this.objects = objects;
     this.announcer = announcer;
     this.keeper = keeper;
     this.wallClock = wallClock;
+    this.pause = pause;
   }
 
   /** Creates a publisher. */
@@ -86,8 +90,9 @@
       ObjectStore objects,
       Announcer announcer,
       ConfigKeeper keeper,
-      LongSupplier wallClock) {
-    return new Publisher(table, objects, announcer, keeper, wallClock);
+      LongSupplier wallClock,
+      Pause pause) {
+    return new Publisher(table, objects, announcer, keeper, wallClock, pause);
   }
 
   /** Has {@code proposal} accepted, or says why not. */
@@ -289,14 +294,14 @@
       if (read.isRight()) {
         return read.get();
       }
-      pause();
+      waitForStore();
     }
     return Optional.empty();
   }
 
-  private static void pause() {
+  private void waitForStore() {
     try {
-      Thread.sleep(READ_BACK_MILLIS);
+      pause.millis(READ_BACK_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/sassafraslink/daemon/request/CoreDriver.java
@@ -0,0 +1,110 @@
+package org.sassafraslink.daemon.request;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.sassafraslink.api.platform.TableService;
+import org.sassafraslink.daemon.process.FleetView;
+import org.sassafraslink.daemon.process.Pause;
+import org.sassafraslink.daemon.version.ActiveConfig;
+import org.sassafraslink.rules.process.AllotmentRow;
+import org.sassafraslink.rules.request.FairQueue;
+import org.sassafraslink.rules.request.RequestState;
+
+/** Drives the dispatch core, the allotment writer and the claim desk without threads. */
+public final class CoreDriver {
+  private final Queue<DispatchEvent> events = new ArrayDeque<>();
+  private final DispatchCore core;
+  private final AllotmentWriter writer;
+  private final ClaimDesk claims;
+  private final LongSupplier clock;
+
+  /** Creates the request path of the process {@code self}. */
+  public CoreDriver(
+      String self,
+      String zone,
+      LongSupplier clock,
+      TableService table,
+      Supplier<FleetView> fleet,
+      Supplier<ImmutableMap<String, LoadReport>> peers,
+      BackendCaller backends) {
+    this.clock = clock;
+    this.writer = AllotmentWriter.create(table);
+    this.claims = ClaimDesk.create(self, table, clock, clock, Pause.none(), this::submitClaimed);
+    this.core =
+        new DispatchCore(
+            new DispatchCore.Surroundings(
+                self,
+                zone,
+                fleet,
+                peers,
+                backends,
+                events::add,
+                order -> writer.submit(new AllotmentWriter.Order(order.team(), order.write())),
+                claims::release),
+            new FairQueue.Bounds(200, 100));
+    writer.connect(
+        new AllotmentWriter.Results() {
+          @Override
+          public void onRow(AllotmentRow row, long version) {
+            onAllotmentRow(row, version);
+          }
+
+          @Override
+          public void onEnd(String team, TeamUnits.WriteResult result) {
+            events.add(new DispatchEvent.WriteEnded(team, result));
+          }
+        });
+  }
+
+  /** Takes in an allotment row. */
+  public void onAllotmentRow(AllotmentRow row, long version) {
+    events.add(new DispatchEvent.RowRead(row, version));
+  }
+
+  /** Takes a call in, through a claim if it has a request id. */
+  public void submit(PendingCall call) {
+    if (call.request().requestId().isPresent() && !call.isIdempotent()) {
+      claims.submit(call, call.request().requestId().get());
+      call.result()
+          .thenAccept(
+              result -> {
+                if (result instanceof CallResult.Answered answered) {
+                  claims.answered(call, answered);
+                }
+              });
+    } else {
+      submitClaimed(call);
+    }
+  }
+
+  private void submitClaimed(PendingCall call) {
+    call.become(RequestState.ADMITTED);
+    events.add(new DispatchEvent.Arrived(call));
+  }
+
+  /** One round of all the threads of the request path. */
+  public void round(Optional<ActiveConfig> config) {
+    long nowMillis = clock.getAsLong();
+    core.configure(config);
+    for (DispatchEvent event = events.poll(); event != null; event = events.poll()) {
+      core.handle(event, nowMillis);
+    }
+    core.tick(nowMillis);
+    core.pump(nowMillis);
+    writer.tryRound();
+    try {
+      claims.tryRound();
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** The load for the peers. */
+  public LoadReport load() {
+    return core.report();
+  }
+}
--- a/rules/src/main/java/org/sassafraslink/rules/process/DeathProof.java
+++ b/rules/src/main/java/org/sassafraslink/rules/process/DeathProof.java
@@ -43,8 +43,10 @@
     if (listedIncarnation > member.vmIncarnation()) {
       return true;
     }
+    // A process of a later incarnation than was listed started after the list lost the VM.
+    boolean wasListed = seen.getOrDefault(member.vm(), 0L) >= member.vmIncarnation();
     Long since = absentSince.get(member.vm());
-    return since != null && nowMillis - since >= absenceMillis;
+    return wasListed && since != null && nowMillis - since >= absenceMillis;
   }
 
   /** Whether the last list lacked {@code vm} although an earlier one had it. */
