--- a/bin/lib.sh
+++ b/bin/lib.sh
@@ -53,7 +53,8 @@
   for i in 1 2 3 4 5 6 7 8 9; do
     endpoints+=(--endpoint "vm-$i,127.0.1.$i,9101" --endpoint "vm-$i,127.0.1.$i,9102")
   done
-  spawn backends org.sassafraslink.standins.BackendStandIn --platform "$PLATFORM" "${endpoints[@]}"
+  spawn backends org.sassafraslink.standins.BackendStandIn --platform "$PLATFORM" \
+    --runs-file "$RUN/runs" "${endpoints[@]}"
 }
 
 start_workers() { spawn workers org.sassafraslink.standins.WorkerStandIn --workers 8; }
@@ -78,3 +79,21 @@
   for i in 1 2 3; do start_daemon "$i"; done
   for i in 1 2 3; do wait_for 30 ready "$i"; done
 }
+
+ENTRIES=http://127.0.0.11:8080,http://127.0.0.12:8080,http://127.0.0.13:8080
+
+# publish_example: publishes the example with a key for each team, and waits until all daemons answer.
+publish_example() {
+  export SASSAFRASLINK_ADMIN=http://127.0.0.11:8081
+  FILES="$RUN/files"
+  cp -r "$ROOT/examples/surat" "$FILES"
+  DRIVER_KEY=$(tool keys grant "$FILES/teams/drivers.sassafras.yaml" drivers-1 | sed -n 's/^key: //p')
+  CLERK_KEY=$(tool keys grant "$FILES/teams/ward-clerks.sassafras.yaml" clerks-1 | sed -n 's/^key: //p')
+  tool publish "$FILES" >/dev/null
+  for i in 1 2 3; do wait_for 20 answered "$i"; done
+}
+
+answered() { curl -sf -H "Sassafras-Key: $DRIVER_KEY" "http://127.0.0.1$1:8080/route-sheets/sheets/ward-7"; }
+
+# caller ARGS...: the checking caller; prints one line of JSON.
+caller() { java -XX:+UseSerialGC -Xmx128m -cp "$(classpath)" org.sassafraslink.standins.CallerStandIn "$@"; }
--- /dev/null
+++ b/config/src/test/java/org/sassafraslink/config/ServiceFilesTest.java
@@ -0,0 +1,90 @@
+package org.sassafraslink.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sassafraslink.api.model.FleetConfig;
+
+final class ServiceFilesTest {
+  private static final String POOL =
+      "schema: sassafraslink/v1\nkind: pool\nname: routes\nsize: 3\n";
+  private static final String SERVICE =
+      """
+      schema: sassafraslink/v1
+      kind: service
+      name: sheets
+      pool: routes
+      port: 9101
+      availability:
+        max-unavailable: 1
+      queues:
+        - name: today
+          class: urgent
+      """;
+
+  private static ImmutableList<String> faults(String... texts) {
+    ImmutableList.Builder<SourceFile> files = ImmutableList.builder();
+    for (int i = 0; i < texts.length; i++) {
+      files.add(new SourceFile("f" + i, texts[i]));
+    }
+    return ServiceFiles.gather(files.build())
+        .fold(
+            found ->
+                found.stream().map(FileFault::toString).collect(ImmutableList.toImmutableList()),
+            config -> ImmutableList.of());
+  }
+
+  @Test
+  void gathersValidFiles() {
+    FleetConfig config =
+        ServiceFiles.gather(
+                ImmutableList.of(new SourceFile("a", POOL), new SourceFile("b", SERVICE)))
+            .get();
+
+    assertEquals(3, config.pools().get("routes").size());
+    assertEquals(8, config.services().get("sheets").slots());
+    assertEquals(
+        FleetConfig.WorkClass.URGENT,
+        config.services().get("sheets").queues().get("today").workClass());
+  }
+
+  @Test
+  void reportsAllFaultsWithFileAndLine() {
+    ImmutableList<String> faults =
+        faults(
+            POOL.replace("size: 3", "size: many\ncolour: red"),
+            SERVICE.replace("pool: routes", "pool: lost").replace("urgent", "fast"));
+
+    assertEquals(
+        ImmutableList.of(
+            "f0:4: 'size' must be a whole number from 0 to 100000",
+            "f0:5: unknown field 'colour'",
+            "f1:10: 'class' has no value 'fast'",
+            "f1:1: no pool is named 'lost'"),
+        faults);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'kind: [', not valid YAML",
+    "'', the file is empty",
+    "'schema: other/v9\nkind: pool\nname: p\nsize: 1', must be sassafraslink/v1",
+    "'schema: sassafraslink/v1\nkind: fleet\nname: p', unknown kind",
+    "'schema: sassafraslink/v1\nkind: pool\nname: P!\nsize: 1', must be lower-case",
+    "'schema: sassafraslink/v1\nkind: pool\nname: p\nsize: 1\nsize: 2', stands twice",
+    "'schema: sassafraslink/v1\nkind: team\nname: t\nshare: 1\nlimit: 1\nkeys:\n - id: k\n   digest: plain', must be sha256",
+    "'- a\n- b', expected fields",
+  })
+  void refusesBadFiles(String text, String message) {
+    assertTrue(faults(text).toString().contains(message), faults(text).toString());
+  }
+
+  @Test
+  void sameNameInTwoFilesNamesBoth() {
+    assertEquals(ImmutableList.of("f1:3: pool 'routes' is also in f0:1"), faults(POOL, POOL));
+  }
+}
--- a/daemon/src/main/java/org/sassafraslink/daemon/connection/CallerConnection.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/connection/CallerConnection.java
@@ -22,7 +22,9 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.sassafraslink.api.Json;
 import org.sassafraslink.api.failure.Failure;
@@ -42,6 +44,7 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
   private final EntryServer server;
+  private final Queue<HttpObject> decodedAhead = new ArrayDeque<>();
   private ChannelHandlerContext context;
   private HttpRequest head;
   private ByteBuf body;
@@ -63,6 +66,8 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    closing = true;
+    readAhead();
     endRequest();
     if (pending != null) {
       pending.leave();
@@ -72,12 +77,21 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    try {
-      if (!closing) {
-        read((HttpObject) message);
+    decodedAhead.add((HttpObject) message);
+    readAhead();
+  }
+
+  /** Reads what is decoded, up to the end of a request. */
+  private void readAhead() {
+    while (!decodedAhead.isEmpty() && (closing || pending == null)) {
+      HttpObject message = decodedAhead.remove();
+      try {
+        if (!closing) {
+          read(message);
+        }
+      } finally {
+        ReferenceCountUtil.release(message);
       }
-    } finally {
-      ReferenceCountUtil.release(message);
     }
   }
 
@@ -110,12 +124,8 @@
       append(content.content());
       if (message instanceof LastHttpContent && head != null) {
         finish();
-        return;
       }
     }
-    if (!closing) {
-      context.read();
-    }
   }
 
   private void begin(HttpRequest request) {
@@ -155,6 +165,7 @@
         new IncomingRequest(head.method().name(), head.uri(), headers.build(), bytes);
     boolean keepAlive = HttpUtil.isKeepAlive(head);
     head = null;
+    context.channel().config().setAutoRead(false);
     pending =
         server.accept(
             request,
@@ -170,6 +181,7 @@
     if (reuse) {
       context.writeAndFlush(response);
       awaitRequest();
+      readAhead();
     } else {
       closing = true;
       context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
@@ -177,12 +189,12 @@
   }
 
   private void awaitRequest() {
+    context.channel().config().setAutoRead(true);
     readTimeout =
         context
             .executor()
             .schedule(
                 this::onReadTimeout, server.limits().readTimeoutMillis(), TimeUnit.MILLISECONDS);
-    context.read();
   }
 
   private void onReadTimeout() {
--- a/daemon/src/main/java/org/sassafraslink/daemon/connection/EntryServer.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/connection/EntryServer.java
@@ -1,6 +1,7 @@
 package org.sassafraslink.daemon.connection;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -9,18 +10,18 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.flow.FlowControlHandler;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.failure.FailureType;
 import org.sassafraslink.daemon.request.CallResult;
-import org.sassafraslink.daemon.request.ClaimDesk;
-import org.sassafraslink.daemon.request.Dispatcher;
+import org.sassafraslink.daemon.request.CallResult.Answered;
 import org.sassafraslink.daemon.request.PendingCall;
 import org.sassafraslink.daemon.version.ActiveConfig;
 
@@ -35,14 +36,25 @@
   private static final int MAX_INITIAL_LINE = 8_192;
   private static final int MAX_CHUNK = 16_384;
   private static final int BACKLOG = 1_024;
+  private static final int MIN_READ = 1_024;
+  private static final int FIRST_READ = 4_096;
+  private static final int MAX_READ = 32_768;
+  private static final long STOP_SECONDS = 2;
 
-  /** What the server needs from the rest of the process. */
+  /**
+   * What the server needs from the rest of the process.
+   *
+   * @param dispatcher takes a call that needs no claim
+   * @param claims takes a call with its request id
+   * @param onAnswered hears of each whole answer
+   */
   public record Surroundings(
       Supplier<Optional<ActiveConfig>> config,
       Supplier<Boolean> accepting,
       LongSupplier clock,
-      Dispatcher dispatcher,
-      ClaimDesk claims,
+      Consumer<PendingCall> dispatcher,
+      BiConsumer<PendingCall, String> claims,
+      BiConsumer<PendingCall, Answered> onAnswered,
       Consumer<CallResult> onResult) {}
 
   /**
@@ -93,7 +105,7 @@
   /** Stops listening and closes all connections. */
   public void stop() {
     channel.close().syncUninterruptibly();
-    loops.shutdownGracefully().awaitUninterruptibly();
+    loops.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 
   Limits limits() {
@@ -145,9 +157,9 @@
     call.result().thenAccept(result -> finish(call, result, onResult));
     Optional<String> requestId = call.request().requestId();
     if (requestId.isPresent() && !call.isIdempotent()) {
-      surroundings.claims().submit(call, requestId.get());
+      surroundings.claims().accept(call, requestId.get());
     } else {
-      surroundings.dispatcher().submit(call);
+      surroundings.dispatcher().accept(call);
     }
     return call;
   }
@@ -155,8 +167,8 @@
   private void finish(PendingCall call, CallResult result, Consumer<CallResult> onResult) {
     waiting.decrementAndGet();
     surroundings.onResult().accept(result);
-    if (result instanceof CallResult.Answered answered) {
-      surroundings.claims().answered(call, answered);
+    if (result instanceof Answered answered) {
+      surroundings.onAnswered().accept(call, answered);
     }
     onResult.accept(result);
   }
@@ -169,7 +181,11 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.AUTO_READ, false)
+            // One read at a time bounds what of pipelined requests is decoded ahead.
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(MIN_READ, FIRST_READ, MAX_READ)
+                    .maxMessagesPerRead(1))
             // A caller may close its sending side and still wait for the answer.
             .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .childHandler(
@@ -193,7 +209,6 @@
     connection
         .pipeline()
         .addLast(new HttpServerCodec(MAX_INITIAL_LINE, limits.maxHeaderBytes(), MAX_CHUNK))
-        .addLast(new FlowControlHandler())
         .addLast(new CallerConnection(this));
   }
 }
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/Node.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Node.java
@@ -196,8 +196,9 @@
             this::inForce,
             () -> accepting,
             clock::monotonicMillis,
-            dispatcher,
-            claims,
+            dispatcher::submit,
+            claims::submit,
+            claims::answered,
             metrics::count),
         new EntryServer.Limits(
             host,
--- a/daemon/src/test/java/org/sassafraslink/daemon/process/FakePlatform.java
+++ b/daemon/src/test/java/org/sassafraslink/daemon/process/FakePlatform.java
@@ -134,10 +134,16 @@
     }
   }
 
+  /** Whether a check is on a duty row that the transaction itself does not renew. */
+  private static boolean isFence(String key, Transaction transaction) {
+    return key.startsWith("duty/")
+        && transaction.writes().stream().noneMatch(write -> write.key().equals(key));
+  }
+
   private static Transaction withoutFence(Transaction transaction) {
     return new Transaction(
         transaction.checks().stream()
-            .filter(check -> !check.key().startsWith("duty/") || transaction.writes().size() == 1)
+            .filter(check -> !isFence(check.key(), transaction))
             .collect(ImmutableList.toImmutableList()),
         transaction.writes());
   }
--- a/rules/src/main/java/org/sassafraslink/rules/process/AllotmentRow.java
+++ b/rules/src/main/java/org/sassafraslink/rules/process/AllotmentRow.java
@@ -66,7 +66,8 @@
   /** Hands {@code given} units of {@code from}, which no longer uses them, to {@code to}. */
   public AllotmentRow transfer(String from, String to, int given) {
     int moved = Math.min(given, unitsOf(from));
-    return shrink(from, moved).with(to, unitsOf(to) + moved);
+    AllotmentRow without = shrink(from, moved);
+    return without.with(to, without.unitsOf(to) + moved);
   }
 
   /** Takes all units of a holder that is certainly dead and whose work has ended. */
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/process/AllotmentPolicyTest.java
@@ -0,0 +1,72 @@
+package org.sassafraslink.rules.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.sassafraslink.rules.process.AllotmentPolicy.Situation;
+
+final class AllotmentPolicyTest {
+  private static final AllotmentRow EMPTY = AllotmentRow.create("team", 12, 1);
+
+  private static AllotmentHolder holder(AllotmentRow row) {
+    return AllotmentHolder.create("me", "team").observe(row, 1);
+  }
+
+  private static Situation situation(int waiting, long idle, Map<String, Integer> unmet, int jobs) {
+    return new Situation(12, 1, 4, waiting, idle, unmet, jobs);
+  }
+
+  private static Optional<AllotmentRow> next(AllotmentRow row, Situation situation) {
+    return AllotmentPolicy.nextRow(holder(row), situation);
+  }
+
+  @Test
+  void takesAnEvenPartInAdvance() {
+    assertEquals(3, next(EMPTY, situation(0, 0, Map.of(), 0)).orElseThrow().unitsOf("me"));
+  }
+
+  @Test
+  void takesMoreForWaitingRequests() {
+    assertEquals(7, next(EMPTY, situation(7, 0, Map.of(), 0)).orElseThrow().unitsOf("me"));
+  }
+
+  @Test
+  void leavesFreeUnitsToWaitingJobs() {
+    assertTrue(next(EMPTY, situation(0, 0, Map.of(), 2)).isEmpty());
+  }
+
+  @Test
+  void lendsIdleUnitsOnlyAfterAWhile() {
+    AllotmentRow mine = EMPTY.grow("me", 12);
+
+    assertTrue(next(mine, situation(0, 249, Map.of("peer", 4), 0)).isEmpty());
+    AllotmentRow lent = next(mine, situation(0, 250, Map.of("peer", 4), 0)).orElseThrow();
+    assertEquals(4, lent.unitsOf("peer"));
+  }
+
+  @Test
+  void returnsIdleUnitsAboveTheEvenPartAfterLong() {
+    AllotmentRow mine = EMPTY.grow("me", 12);
+
+    assertTrue(next(mine, situation(0, 9_999, Map.of(), 0)).isEmpty());
+    assertEquals(3, next(mine, situation(0, 10_000, Map.of(), 0)).orElseThrow().unitsOf("me"));
+  }
+
+  @Test
+  void shrinksAtOnceBelowALoweredLimit() {
+    AllotmentRow row = EMPTY.grow("me", 12);
+    Situation lowered = new Situation(5, 2, 4, 0, 0, Map.of(), 0);
+
+    assertEquals(5, next(row, lowered).orElseThrow().unitsOf("me"));
+  }
+
+  @Test
+  void oldConfigurationChangesNothing() {
+    AllotmentRow row = EMPTY.withLimit(5, 9);
+
+    assertTrue(next(row, situation(7, 0, Map.of(), 0)).isEmpty());
+  }
+}
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/process/AllotmentRowTest.java
@@ -0,0 +1,70 @@
+package org.sassafraslink.rules.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+final class AllotmentRowTest {
+  private static final AllotmentRow EMPTY = AllotmentRow.create("team", 10, 1);
+
+  /** A change of a row. */
+  private record Change(String kind, String holder, String other, int units) {
+    AllotmentRow on(AllotmentRow row) {
+      return switch (kind) {
+        case "grow" -> row.grow(holder, units);
+        case "shrink" -> row.shrink(holder, units);
+        case "transfer" -> row.transfer(holder, other, units);
+        case "reclaim" -> row.reclaim(holder);
+        default -> row.hasRoomForJob() ? row.addJobs(1) : row.addJobs(-1);
+      };
+    }
+  }
+
+  @Property(tries = 500, seed = "1")
+  void sumNeverPassesTheLimit(@ForAll("changes") List<Change> changes) {
+    AllotmentRow row = EMPTY;
+    for (Change change : changes) {
+      row = change.on(row);
+      assertTrue(row.total() <= row.limit(), row.toString());
+      assertTrue(row.units().values().stream().allMatch(units -> units > 0), row.toString());
+    }
+  }
+
+  @Property(tries = 500, seed = "2")
+  void loweredLimitNeverLetsTheSumGrow(@ForAll("changes") List<Change> changes) {
+    AllotmentRow row = EMPTY.grow("a", 6).grow("b", 4).withLimit(3, 2);
+    for (Change change : changes) {
+      AllotmentRow next = change.on(row);
+      assertTrue(next.total() <= Math.max(row.total(), row.limit()), next.toString());
+      row = next;
+    }
+  }
+
+  @Provide
+  Arbitrary<List<Change>> changes() {
+    return Combinators.combine(
+            Arbitraries.of("grow", "shrink", "transfer", "reclaim", "job"),
+            Arbitraries.of("a", "b", "c"),
+            Arbitraries.of("a", "b", "c"),
+            Arbitraries.integers().between(0, 12))
+        .as(Change::new)
+        .list()
+        .ofMaxSize(40);
+  }
+
+  @Test
+  void limitOfAnEarlierConfigurationIsIgnored() {
+    AllotmentRow lowered = EMPTY.withLimit(3, 5);
+
+    assertEquals(3, lowered.withLimit(10, 4).limit());
+    assertEquals(7, lowered.withLimit(7, 6).limit());
+  }
+}
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/process/AvailabilityCheckTest.java
@@ -0,0 +1,37 @@
+package org.sassafraslink.rules.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sassafraslink.api.model.FleetConfig.AvailabilityBudget;
+import org.sassafraslink.rules.process.AvailabilityCheck.Instance;
+
+final class AvailabilityCheckTest {
+  /** Instances as letters: the zone, in lower case if unavailable. */
+  private static ImmutableList<Instance> instances(String letters) {
+    ImmutableList.Builder<Instance> instances = ImmutableList.builder();
+    for (int i = 0; i < letters.length(); i++) {
+      char letter = letters.charAt(i);
+      String zone = String.valueOf(Character.toUpperCase(letter));
+      instances.add(new Instance("vm" + i, zone, Character.isUpperCase(letter)));
+    }
+    return instances.build();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "AABBCC, vm0, true",
+    "AaBBCC, vm0, false",
+    "AaBBCC, vm2, true",
+    "AabBCC, vm4, false",
+    "AaBBCC, vm1, true",
+    "AABBCC, vm9, false",
+  })
+  void budgetCountsAllLossesAndEachZone(String letters, String vm, boolean allowed) {
+    AvailabilityBudget budget = new AvailabilityBudget(2, 1);
+
+    assertEquals(allowed, AvailabilityCheck.mayDisrupt(budget, instances(letters), vm));
+  }
+}
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/process/MemberSetTest.java
@@ -0,0 +1,77 @@
+package org.sassafraslink.rules.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sassafraslink.rules.process.MemberSet.Member;
+import org.sassafraslink.rules.process.MemberSet.Standing;
+
+final class MemberSetTest {
+  private static Member member(String id, String address) {
+    return new Member(id, address, 1, address, "zone", Standing.GUEST);
+  }
+
+  private static MemberSet full(String... ids) {
+    MemberSet set = MemberSet.empty();
+    for (String id : ids) {
+      set = set.register(member(id, id));
+      set = set.startJoin(id).orElseThrow();
+      if (set.joining().isPresent()) {
+        Map<String, Long> seen = Map.of("a", set.epoch(), "b", set.epoch(), "c", set.epoch());
+        set = set.finishJoin(id, set.epoch(), seen).orElseThrow();
+      }
+    }
+    return set;
+  }
+
+  @Test
+  void firstMemberIsFullAtOnce() {
+    assertEquals(1, full("a").full().size());
+  }
+
+  @Test
+  void secondJoinerWaitsForTheFirst() {
+    MemberSet set = full("a").register(member("b", "b")).register(member("c", "c"));
+    MemberSet joining = set.startJoin("b").orElseThrow();
+
+    assertTrue(joining.startJoin("c").isEmpty());
+  }
+
+  @Test
+  void joinerIsNotFullBeforeEveryFullMemberHasSeenIt() {
+    MemberSet joining = full("a", "b").register(member("c", "c")).startJoin("c").orElseThrow();
+    long epoch = joining.epoch();
+
+    assertTrue(joining.finishJoin("c", epoch, Map.of("a", epoch)).isEmpty());
+    assertTrue(joining.finishJoin("c", epoch, Map.of("a", epoch, "b", epoch - 1)).isEmpty());
+    assertTrue(joining.finishJoin("c", epoch, Map.of("a", epoch, "b", epoch)).isPresent());
+  }
+
+  @Test
+  void newProcessAtAnAddressProvesTheLastOneDead() {
+    MemberSet set = full("a").register(member("a2", "a"));
+
+    assertTrue(set.dead().contains("a"));
+    assertFalse(set.dead().contains("a2"));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"a;b, true", "a, false", "b;c, true", "a;x;y, false", "a;b;c, true"})
+  void majorityCountsFullMembersOnly(String voters, boolean expected) {
+    assertEquals(expected, full("a", "b", "c").isMajority(ImmutableList.copyOf(voters.split(";"))));
+  }
+
+  @Test
+  void majorityHoldsWithTheJoiningMemberToo() {
+    MemberSet set = full("a", "b").register(member("c", "c")).startJoin("c").orElseThrow();
+
+    assertFalse(set.isMajority(ImmutableList.of("a", "c")), "one of two full members");
+    assertTrue(set.isMajority(ImmutableList.of("a", "b")));
+  }
+}
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/process/WavePlanTest.java
@@ -0,0 +1,44 @@
+package org.sassafraslink.rules.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import org.junit.jupiter.api.Test;
+import org.sassafraslink.api.model.FleetConfig.AvailabilityBudget;
+import org.sassafraslink.rules.process.AvailabilityCheck.Instance;
+
+final class WavePlanTest {
+  private static final ImmutableList<Instance> SIX =
+      ImmutableList.of(
+          new Instance("a1", "a", true),
+          new Instance("a2", "a", true),
+          new Instance("b1", "b", true),
+          new Instance("b2", "b", true),
+          new Instance("c1", "c", true),
+          new Instance("c2", "c", true));
+
+  private static ImmutableList<String> next(int most, int inZone, String... done) {
+    return WavePlan.next(
+        SIX, ImmutableList.of(new AvailabilityBudget(most, inZone)), ImmutableSet.copyOf(done));
+  }
+
+  @Test
+  void takesAsManyAsTheBudgetAllows() {
+    assertEquals(ImmutableList.of("a1", "b1", "c1"), next(3, 1));
+    assertEquals(ImmutableList.of("a1", "a2"), next(2, 2));
+  }
+
+  @Test
+  void leavesOutWhatIsDone() {
+    assertEquals(ImmutableList.of("a2", "b1"), next(2, 1, "a1"));
+  }
+
+  @Test
+  void allBudgetsOfThePoolCount() {
+    ImmutableList<AvailabilityBudget> budgets =
+        ImmutableList.of(new AvailabilityBudget(3, 1), new AvailabilityBudget(0, 0));
+
+    assertEquals(ImmutableList.of(), WavePlan.next(SIX, budgets, ImmutableSet.of()));
+  }
+}
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/request/ClaimDecisionTest.java
@@ -0,0 +1,44 @@
+package org.sassafraslink.rules.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sassafraslink.rules.request.ClaimDecision.Found;
+
+final class ClaimDecisionTest {
+  private static final Claim OWN = Claim.create("own", "me", "print", 1);
+  private static final Claim OTHER = Claim.create("other", "peer", "print", 1);
+  private static final Claim.Answer ANSWER = new Claim.Answer(200, "text/plain", "");
+
+  static Stream<Arguments> cases() {
+    return Stream.of(
+        Arguments.of("absent", null, "Write"),
+        Arguments.of("own after a lost answer", OWN, "Send"),
+        Arguments.of("another attempt's", OTHER, "Refuse REQUEST_ID_IN_USE"),
+        Arguments.of("released", OTHER.release(), "Write"),
+        Arguments.of("answered and kept", OTHER.answered(Optional.of(ANSWER)), "Replay"),
+        Arguments.of(
+            "answered, not kept", OTHER.answered(Optional.empty()), "Refuse REQUEST_ID_IN_USE"),
+        Arguments.of(
+            "of another request",
+            Claim.create("other", "peer", "different", 1),
+            "Refuse REQUEST_ID_MISMATCH"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("cases")
+  void decides(String name, Claim found, String expected) {
+    ClaimDecision decision =
+        ClaimDecision.decide(OWN, Optional.ofNullable(found).map(claim -> new Found(3, claim)));
+
+    String actual = decision.getClass().getSimpleName();
+    if (decision instanceof ClaimDecision.Refuse refuse) {
+      actual += " " + refuse.failure().type();
+    }
+    assertEquals(expected, actual, name);
+  }
+}
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/request/FailureAfterSendTest.java
@@ -0,0 +1,30 @@
+package org.sassafraslink.rules.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sassafraslink.rules.request.FailureAfterSend.Exchange;
+import org.sassafraslink.rules.request.FailureAfterSend.Next;
+
+final class FailureAfterSendTest {
+  @ParameterizedTest
+  @CsvSource({
+    // sent, idempotent, attempts, now, budget left
+    "true, true, 1, 0, true, RETRY",
+    "true, false, 1, 0, true, OUTCOME_UNKNOWN",
+    "false, false, 1, 0, true, RETRY",
+    "false, false, 1, 0, false, NO_INSTANCE",
+    "false, false, 3, 0, true, NO_INSTANCE",
+    "true, true, 1, 0, false, OUTCOME_UNKNOWN",
+    "true, true, 3, 0, true, OUTCOME_UNKNOWN",
+    "true, true, 1, 100, true, OUTCOME_UNKNOWN",
+  })
+  void retriesOnlyWhatDoesNoHarmAndTellsTheTruthOtherwise(
+      boolean sent, boolean idempotent, int attempts, long now, boolean budget, String expected) {
+    Next next = FailureAfterSend.decide(new Exchange(sent, idempotent, attempts, now, 100), budget);
+
+    String actual = next instanceof Next.Tell tell ? tell.failure().type().name() : "RETRY";
+    assertEquals(expected, actual);
+  }
+}
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/request/KeyCheckTest.java
@@ -0,0 +1,46 @@
+package org.sassafraslink.rules.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sassafraslink.api.Digests;
+import org.sassafraslink.api.model.FleetConfig;
+import org.sassafraslink.api.model.FleetConfig.Team;
+import org.sassafraslink.api.model.FleetConfig.TeamKey;
+
+final class KeyCheckTest {
+  private static final FleetConfig CONFIG =
+      new FleetConfig(
+          FleetConfig.SCHEMA,
+          ImmutableMap.of(),
+          ImmutableMap.of(),
+          ImmutableMap.of(),
+          ImmutableMap.of(
+              "drivers",
+              new Team(
+                  "drivers", 1, 1, ImmutableList.of(new TeamKey("d1", Digests.of("d1.secret"))))),
+          ImmutableMap.of());
+
+  @ParameterizedTest
+  @CsvSource({
+    "d1.secret, false, drivers",
+    "d1.secret, true, drivers",
+    "d1.wrong, false, KEY_REJECTED",
+    "d1.wrong, true, KEY_REJECTED",
+    "d2.secret, false, KEY_REJECTED",
+    "secret, false, KEY_REJECTED",
+    ", false, KEY_MISSING",
+    ", true, ''",
+  })
+  void teamIsTheOneWhoseKeyCame(String key, boolean open, String expected) {
+    String actual =
+        KeyCheck.check(CONFIG, Optional.ofNullable(key), open)
+            .fold(failure -> failure.type().name(), team -> team.orElse(""));
+
+    assertEquals(expected, actual);
+  }
+}
--- /dev/null
+++ b/rules/src/test/java/org/sassafraslink/rules/request/RequestStateTest.java
@@ -0,0 +1,35 @@
+package org.sassafraslink.rules.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class RequestStateTest {
+  @ParameterizedTest
+  @CsvSource({
+    "RECEIVED, true",
+    "QUEUED, true",
+    "ASSIGNED, true",
+    "SENDING, false",
+    "SENT, false",
+    "ANSWERED, false",
+  })
+  void notRunIsTrueOnlyBeforeSending(RequestState state, boolean notRun) {
+    assertEquals(notRun, state.isCertainlyNotRun());
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "QUEUED, ASSIGNED, true",
+    "SENDING, QUEUED, true",
+    "ASSIGNED, QUEUED, true",
+    "QUEUED, RECEIVED, false",
+    "ANSWERED, QUEUED, false",
+    "ABANDONED, SENDING, false",
+    "SENT, ABANDONED, true",
+  })
+  void statesMoveOnOrBackForARetry(RequestState from, RequestState to, boolean allowed) {
+    assertEquals(allowed, from.mayBecome(to));
+  }
+}
--- a/standins/src/main/java/org/sassafraslink/standins/BackendStandIn.java
+++ b/standins/src/main/java/org/sassafraslink/standins/BackendStandIn.java
@@ -1,7 +1,6 @@
 package org.sassafraslink.standins;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -16,10 +15,11 @@
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -58,10 +58,11 @@
   private final List<Endpoint> endpoints;
   private final int slots;
   private final OkHttpClient client = new OkHttpClient();
-  private final Map<String, AtomicLong> runs = new ConcurrentHashMap<>();
+  private final RunLog runs;
   private final AtomicLong cutInFlight = new AtomicLong();
 
-  private BackendStandIn(List<Endpoint> endpoints, int slots) {
+  private BackendStandIn(List<Endpoint> endpoints, int slots, RunLog runs) {
+    this.runs = runs;
     this.endpoints = endpoints;
     this.slots = slots;
   }
@@ -77,6 +78,8 @@
             .required();
     OptionSpec<Integer> slots =
         parser.accepts("slots").withRequiredArg().ofType(Integer.class).defaultsTo(8);
+    OptionSpec<String> runsFile =
+        parser.accepts("runs-file", "notes the token of each run").withRequiredArg();
     OptionSpec<String> platform = parser.accepts("platform").withRequiredArg().required();
     OptionSpec<Integer> control =
         parser.accepts("control-port").withRequiredArg().ofType(Integer.class).defaultsTo(9500);
@@ -85,7 +88,11 @@
         options.valuesOf(endpoint).stream()
             .map(BackendStandIn::parseEndpoint)
             .collect(ImmutableList.toImmutableList());
-    BackendStandIn backend = new BackendStandIn(endpoints, options.valueOf(slots));
+    BackendStandIn backend =
+        new BackendStandIn(
+            endpoints,
+            options.valueOf(slots),
+            RunLog.appendingTo(Optional.ofNullable(options.valueOf(runsFile)).map(Path::of)));
     endpoints.forEach(backend::open);
     backend.start(options.valueOf(platform), options.valueOf(control));
   }
@@ -104,18 +111,11 @@
         controlPort,
         2,
         app -> {
-          app.get("/control/runs", ctx -> Json.write(runCounts()));
           app.get("/control/cut", ctx -> Json.write(cutInFlight.get()));
         });
     LOG.info("Backend stand-in serves {} endpoints.", endpoints.size());
   }
 
-  private ImmutableMap<String, Long> runCounts() {
-    ImmutableMap.Builder<String, Long> counts = ImmutableMap.builder();
-    runs.forEach((token, count) -> counts.put(token, count.get()));
-    return counts.buildOrThrow();
-  }
-
   private synchronized void open(Endpoint endpoint) {
     ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     InstanceStandIn instance =
--- a/standins/src/main/java/org/sassafraslink/standins/InstanceStandIn.java
+++ b/standins/src/main/java/org/sassafraslink/standins/InstanceStandIn.java
@@ -37,7 +37,7 @@
   private final String vm;
   private final int port;
   private final ScheduledExecutorService timer;
-  private final Map<String, AtomicLong> runs;
+  private final RunLog runs;
   private final AtomicLong cutInFlight;
   private final Queue<Waiting> waiting = new ArrayDeque<>();
   private int freeSlots;
@@ -47,7 +47,7 @@
       int port,
       int slots,
       ScheduledExecutorService timer,
-      Map<String, AtomicLong> runs,
+      RunLog runs,
       AtomicLong cutInFlight) {
     this.vm = vm;
     this.port = port;
@@ -62,7 +62,7 @@
       int port,
       int slots,
       ScheduledExecutorService timer,
-      Map<String, AtomicLong> runs,
+      RunLog runs,
       AtomicLong cutInFlight) {
     return new InstanceStandIn(vm, port, slots, timer, runs, cutInFlight);
   }
@@ -108,7 +108,7 @@
 
   private void run(Waiting work) {
     if (!work.order().token().isEmpty()) {
-      runs.computeIfAbsent(work.order().token(), token -> new AtomicLong()).incrementAndGet();
+      runs.add(work.order().token());
     }
     if (work.order().delayMillis() == 0) {
       finish(work);
