Stop allotments from moving back and forth; count failures in flight together once

Cause: after a daemon was killed and replaced, all 12 units of a team sat with one daemon while two had none, and the units kept moving: a daemon with idle units handed half of them to the neediest peer even below its own even part, and soon was the neediest itself.

Ruled out: the claims (one batch a request, 150 a second and daemon measured by their log), and the health of instances. The latter had a fault of its own, mended here: requests in flight that failed together each doubled the quarantine, up to 30 s.

Change: a daemon has a right to its even part and gets it back at once from whoever holds more; below the even part units are lent only after 1 s of idleness, and never the last one. A daemon that lacks units reads the row every 150 ms instead of once a second.

--- a/daemon/src/main/java/org/sassafraslink/daemon/request/AllotmentWriter.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/AllotmentWriter.java
@@ -21,8 +21,8 @@
 public final class AllotmentWriter {
   private static final int RING_CAPACITY = 4_096;
 
-  /** A write that the dispatcher asks for. */
-  public record Order(String team, PendingWrite write) {}
+  /** A write, or a read if there is none, that the dispatcher asks for. */
+  public record Order(String team, Optional<PendingWrite> write) {}
 
   /** Takes the results of writes. */
   interface Results {
@@ -66,7 +66,7 @@
 
   /** Takes an order in; a full ring refuses it, which has no effect. */
   public void submit(Order order) {
-    if (!ring.offer(order)) {
+    if (!ring.offer(order) && order.write().isPresent()) {
       results.onEnd(order.team(), new WriteResult.Refused());
     }
   }
@@ -86,8 +86,12 @@
   }
 
   private void write(Order order) {
-    PendingWrite write = order.write();
     String key = AllotmentRow.key(order.team());
+    if (order.write().isEmpty()) {
+      readBack(key);
+      return;
+    }
+    PendingWrite write = order.write().get();
     Either<PlatformFailure, Long> committed =
         table.transact(
             Transaction.compareAndSet(key, write.baseVersion(), Json.write(write.proposed())));
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/DispatchCore.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/DispatchCore.java
@@ -13,7 +13,6 @@
 import org.sassafraslink.api.model.FleetConfig.Team;
 import org.sassafraslink.daemon.process.FleetView;
 import org.sassafraslink.daemon.version.ActiveConfig;
-import org.sassafraslink.rules.process.AllotmentHolder.PendingWrite;
 import org.sassafraslink.rules.process.AllotmentRow;
 import org.sassafraslink.rules.process.MemberSet;
 import org.sassafraslink.rules.process.MemberSet.Member;
@@ -34,9 +33,6 @@
 final class DispatchCore {
   private static final int NO_TEAM_SHARE = 1;
 
-  /** A write of an allotment row that the core asks for. */
-  record WriteOrder(String team, PendingWrite write) {}
-
   /** What the core needs from the rest of the process. */
   record Surroundings(
       String self,
@@ -45,7 +41,7 @@
       Supplier<ImmutableMap<String, LoadReport>> peers,
       BackendCaller backends,
       Consumer<DispatchEvent> events,
-      Consumer<WriteOrder> allotmentWriter,
+      Consumer<AllotmentWriter.Order> allotmentWriter,
       Consumer<PendingCall> onNotRun) {}
 
   private final Surroundings surroundings;
@@ -94,8 +90,7 @@
     config.ifPresent(
         active ->
             teams
-                .writesDue(active, living, peers, nowMillis)
-                .values()
+                .ordersDue(active, living, peers, nowMillis)
                 .forEach(surroundings.allotmentWriter()));
   }
 
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/Dispatcher.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/Dispatcher.java
@@ -66,10 +66,7 @@
                 surroundings.peers(),
                 surroundings.backends(),
                 this::put,
-                order ->
-                    surroundings
-                        .allotmentWriter()
-                        .accept(new AllotmentWriter.Order(order.team(), order.write())),
+                surroundings.allotmentWriter(),
                 surroundings.onNotRun()),
             bounds);
   }
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/TeamLedger.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/TeamLedger.java
@@ -1,13 +1,16 @@
 package org.sassafraslink.daemon.request;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.sassafraslink.api.model.FleetConfig.Team;
-import org.sassafraslink.daemon.request.DispatchCore.WriteOrder;
+import org.sassafraslink.daemon.request.AllotmentWriter.Order;
 import org.sassafraslink.daemon.request.DispatchStatus.TeamStatus;
 import org.sassafraslink.daemon.version.ActiveConfig;
+import org.sassafraslink.rules.process.AllotmentHolder.PendingWrite;
 
 /** The units of all teams at this process; confined to the dispatcher's thread. */
 final class TeamLedger {
@@ -51,22 +54,26 @@
         });
   }
 
-  /** The writes of allotment rows that are due. */
-  ImmutableMap<String, WriteOrder> writesDue(
+  /** The writes and reads of allotment rows that are due. */
+  ImmutableList<Order> ordersDue(
       ActiveConfig active, int living, ImmutableMap<String, LoadReport> peers, long nowMillis) {
-    ImmutableMap.Builder<String, WriteOrder> orders = ImmutableMap.builder();
+    ImmutableList.Builder<Order> orders = ImmutableList.builder();
     for (Team team : active.config().teams().values()) {
-      units(team.name(), nowMillis)
-          .nextWrite(
+      TeamUnits units = units(team.name(), nowMillis);
+      Optional<PendingWrite> write =
+          units.nextWrite(
               team.limit(),
               active.version(),
               living,
               unmetByPeer(peers, team.name()),
               jobUnmet(peers, team.name()),
-              nowMillis)
-          .ifPresent(write -> orders.put(team.name(), new WriteOrder(team.name(), write)));
+              nowMillis);
+      // A peer may have lent what is lacking: the row tells.
+      if (write.isPresent() || units.isReadDue(nowMillis)) {
+        orders.add(new Order(team.name(), write));
+      }
     }
-    return orders.buildOrThrow();
+    return orders.build();
   }
 
   ImmutableMap<String, Integer> unmet() {
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/TeamUnits.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/TeamUnits.java
@@ -10,10 +10,12 @@
 /** A team's allotment at this process; confined to the dispatcher's thread. */
 final class TeamUnits {
   private static final long RETRY_MILLIS = 200;
+  private static final long READ_INTERVAL_MILLIS = 150;
 
   private AllotmentHolder holder;
   private boolean writeInFlight;
   private long retryAtMillis;
+  private long nextReadMillis;
   private long idleSinceMillis;
   private int waiting;
 
@@ -68,6 +70,15 @@
     holder = holder.observe(row, version);
   }
 
+  /** Whether the row should be read, because requests lack units; true once per interval. */
+  boolean isReadDue(long nowMillis) {
+    boolean isDue = unmet() > 0 && nowMillis >= nextReadMillis;
+    if (isDue) {
+      nextReadMillis = nowMillis + READ_INTERVAL_MILLIS;
+    }
+    return isDue;
+  }
+
   /** The write to send now, already noted as in flight. */
   Optional<AllotmentHolder.PendingWrite> nextWrite(
       int limit,
--- a/rules/src/main/java/org/sassafraslink/rules/process/AllotmentPolicy.java
+++ b/rules/src/main/java/org/sassafraslink/rules/process/AllotmentPolicy.java
@@ -7,14 +7,15 @@
 /**
  * Decides the next change of a team's allotment row that one process should write.
  *
- * <p>Each process keeps an even part of the limit, so that it can serve on during an outage of the
- * store. Above that, units follow demand: they are taken from the free ones, and handed to the peer
- * with the largest unmet need once they have been idle for a while. The idle time is hysteresis
- * against moving units back and forth.
+ * <p>Each process has a right to an even part of the limit, so that it can serve on during an
+ * outage of the store. Above that, units follow demand: they are taken from the free ones, and
+ * handed to the peer with the largest unmet need. A peer that lacks its even part gets it back at
+ * once from whoever holds more; otherwise units move only after some idle time, which is hysteresis
+ * against moving them back and forth.
  */
 public final class AllotmentPolicy {
   /** Time for which a unit must be idle before a peer with unmet need gets it, in ms. */
-  public static final long LEND_AFTER_IDLE_MILLIS = 250;
+  public static final long LEND_AFTER_IDLE_MILLIS = 1_000;
 
   /** Time for which a unit must be idle before it is returned without a need, in ms. */
   public static final long RETURN_AFTER_IDLE_MILLIS = 10_000;
@@ -68,14 +69,13 @@
     if (held < target && row.free() > 0) {
       return row.grow(holder.self(), target - held);
     }
-    boolean mayLend = idle > 0 && situation.idleMillis() >= LEND_AFTER_IDLE_MILLIS;
-    if (mayLend && situation.jobUnmet() > row.free()) {
+    boolean isIdle = idle > 0 && situation.idleMillis() >= LEND_AFTER_IDLE_MILLIS;
+    if (isIdle && situation.jobUnmet() > row.free()) {
       return row.shrink(holder.self(), Math.min((idle + 1) / 2, situation.jobUnmet()));
     }
-    Optional<String> needy = neediest(situation.unmetOfPeers());
-    if (mayLend && needy.isPresent()) {
-      int lent = Math.min((idle + 1) / 2, situation.unmetOfPeers().get(needy.get()));
-      return row.transfer(holder.self(), needy.get(), lent);
+    AllotmentRow lent = lend(row, holder.self(), idle, isIdle, evenPart, situation.unmetOfPeers());
+    if (!lent.equals(row)) {
+      return lent;
     }
     int excess = Math.min(idle, held - evenPart);
     if (excess > 0 && situation.idleMillis() >= RETURN_AFTER_IDLE_MILLIS) {
@@ -84,6 +84,33 @@
     return row;
   }
 
+  private static AllotmentRow lend(
+      AllotmentRow row,
+      String self,
+      int idle,
+      boolean isIdle,
+      int evenPart,
+      Map<String, Integer> unmetOfPeers) {
+    Optional<String> needy = neediest(unmetOfPeers);
+    if (needy.isEmpty() || idle == 0) {
+      return row;
+    }
+    int unmet = unmetOfPeers.get(needy.get());
+    int owed = evenPart - row.unitsOf(needy.get());
+    int excess = row.unitsOf(self) - evenPart;
+    if (owed > 0 && excess > 0) {
+      int given = Math.min(Math.min(unmet, owed), Math.min(idle, excess));
+      return row.transfer(self, needy.get(), given);
+    }
+    // Units of the own even part are lent only from idleness, and never the last one.
+    int kept = evenPart > 0 ? 1 : 0;
+    int spare = Math.min((idle + 1) / 2, row.unitsOf(self) - kept);
+    boolean mayBorrow = owed <= 0 || excess <= 0;
+    return isIdle && mayBorrow && spare > 0
+        ? row.transfer(self, needy.get(), Math.min(spare, unmet))
+        : row;
+  }
+
   private static Optional<String> neediest(Map<String, Integer> unmet) {
     return unmet.entrySet().stream()
         .filter(entry -> entry.getValue() > 0)
--- a/rules/src/main/java/org/sassafraslink/rules/request/InstanceHealth.java
+++ b/rules/src/main/java/org/sassafraslink/rules/request/InstanceHealth.java
@@ -42,6 +42,12 @@
 
   /** The state after a failed exchange. */
   public InstanceHealth onFailure(long nowMillis) {
+    boolean isInQuarantine =
+        failuresInRow >= FAILURES_TO_QUARANTINE && nowMillis < retryAtMillis && !probing;
+    if (isInQuarantine) {
+      // Requests that were in flight when the instance failed fail together, and count once.
+      return this;
+    }
     int failures = failuresInRow + 1;
     int doublings = Math.max(0, Math.min(16, failures - FAILURES_TO_QUARANTINE));
     long quarantine = Math.min(MAX_QUARANTINE_MILLIS, FIRST_QUARANTINE_MILLIS << doublings);
