Hold shares before classes, and start waves from the fullest zone

Strict priority between classes let the one urgent team take everything.

Ruled out: weights for classes (they change the shares that operators set).

Waves take first from the zone with the most VMs left.

--- /dev/null
+++ b/bench/src/main/java/org/sassafraslink/bench/Deployment.java
@@ -0,0 +1,43 @@
+package org.sassafraslink.bench;
+
+import com.google.common.collect.ImmutableList;
+import org.sassafraslink.api.model.FleetConfig.WorkClass;
+
+/**
+ * One user's fleet as the brief gives it: five services of six to nine instances with 8 slots each,
+ * three zones, six client accounts, a few of them large.
+ */
+record Deployment(String name, ImmutableList<Integer> instances, ImmutableList<Account> accounts) {
+  static final int SLOTS = 8;
+  static final int ZONES = 3;
+  static final int DAEMONS = 7;
+
+  /** A team with its share of the capacity and its part of the demand, both in percent. */
+  record Account(String team, int share, int demand, WorkClass workClass) {}
+
+  static Deployment surat() {
+    return new Deployment(
+        "surat",
+        ImmutableList.of(9, 8, 7, 6, 6),
+        ImmutableList.of(
+            new Account("drivers", 40, 35, WorkClass.URGENT),
+            new Account("ward-clerks", 25, 30, WorkClass.COUNTER),
+            new Account("yard", 15, 20, WorkClass.COUNTER),
+            new Account("corporator", 10, 5, WorkClass.COUNTER),
+            new Account("society", 5, 5, WorkClass.COUNTER),
+            new Account("tallies", 5, 5, WorkClass.BOOKKEEPING)));
+  }
+
+  static Deployment mwakilema() {
+    return new Deployment(
+        "mwakilema",
+        ImmutableList.of(8, 8, 7, 7, 6),
+        ImmutableList.of(
+            new Account("hotels", 35, 25, WorkClass.URGENT),
+            new Account("bakeries", 25, 35, WorkClass.COUNTER),
+            new Account("schools", 20, 20, WorkClass.COUNTER),
+            new Account("traders", 10, 10, WorkClass.COUNTER),
+            new Account("agents", 5, 5, WorkClass.COUNTER),
+            new Account("statements", 5, 5, WorkClass.BOOKKEEPING)));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/sassafraslink/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded experiments that feed the decisions with arrivals, completions and failures. */
+package org.sassafraslink.bench;
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/ServiceLane.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/ServiceLane.java
@@ -88,7 +88,7 @@
     health.put(vm, isWhole ? healthOf(vm).onSuccess() : healthOf(vm).onFailure(nowMillis));
     double cost = nowMillis - call.sentMillis();
     double estimate = estimatedCost(call);
-    queue.charge(call.team(), share, call.queue().workClass(), cost - call.chargedMillis());
+    queue.charge(call.team(), share, cost - call.chargedMillis());
     meanCost.put(call.queue().name(), estimate + COST_SMOOTHING * (cost - estimate));
   }
 
--- a/rules/src/main/java/org/sassafraslink/rules/process/WavePlan.java
+++ b/rules/src/main/java/org/sassafraslink/rules/process/WavePlan.java
@@ -11,8 +11,9 @@
 /**
  * Decides which VMs a maintenance plan drains next.
  *
- * <p>It takes as many as the budgets of all services on the pool allow, zone by zone, so that the
- * wave ends early and a zone that is already disturbed is finished first.
+ * <p>It takes as many as the budgets of all services on the pool allow, first from the zones with
+ * the most VMs left. Otherwise one zone would be left at the end, whose VMs could only go one after
+ * the other.
  */
 public final class WavePlan {
   /** The progress of a plan, kept in one row. */
@@ -49,7 +50,10 @@
     List<Instance> candidates =
         instances.stream()
             .filter(instance -> instance.available() && !done.contains(instance.vm()))
-            .sorted(Comparator.comparing(Instance::zone).thenComparing(Instance::vm))
+            .sorted(
+                Comparator.<Instance>comparingLong(i -> -left(instances, done, i.zone()))
+                    .thenComparing(Instance::zone)
+                    .thenComparing(Instance::vm))
             .toList();
     for (Instance candidate : candidates) {
       ImmutableList<Instance> now = ImmutableList.copyOf(state);
@@ -64,4 +68,11 @@
     }
     return chosen.build();
   }
+
+  private static long left(
+      ImmutableList<Instance> instances, ImmutableSet<String> done, String zone) {
+    return instances.stream()
+        .filter(instance -> instance.zone().equals(zone) && !done.contains(instance.vm()))
+        .count();
+  }
 }
