Send peers only the row versions of draining VMs; measure how messages grow

Cause: each question to a peer named every VM with its row version, some 16 bytes a VM, seven peers and 3.3 times a second: at 2,120 VMs far above 3 KB a second.

Ruled out: longer intervals (they lengthen drains and the return of units).

Change: only draining VMs carry a row version, since only their planner reads it.

--- /dev/null
+++ b/bench/src/main/java/org/sassafraslink/bench/Slopes.java
@@ -0,0 +1,140 @@
+package org.sassafraslink.bench;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.Locale;
+import java.util.Optional;
+import org.sassafraslink.api.Digests;
+import org.sassafraslink.api.Json;
+import org.sassafraslink.api.model.FleetConfig;
+import org.sassafraslink.api.model.FleetConfig.AnswerCheck;
+import org.sassafraslink.api.model.FleetConfig.AvailabilityBudget;
+import org.sassafraslink.api.model.FleetConfig.Pool;
+import org.sassafraslink.api.model.FleetConfig.Queue;
+import org.sassafraslink.api.model.FleetConfig.Service;
+import org.sassafraslink.api.model.FleetConfig.Team;
+import org.sassafraslink.api.model.FleetConfig.TeamKey;
+import org.sassafraslink.api.model.FleetConfig.WorkClass;
+import org.sassafraslink.api.platform.WorkerControl.Resources;
+import org.sassafraslink.rules.process.AllotmentRow;
+import org.sassafraslink.rules.process.Job;
+import org.sassafraslink.rules.process.VmOwnership;
+import org.sassafraslink.wire.generated.Load;
+import org.sassafraslink.wire.generated.Question;
+import org.sassafraslink.wire.generated.TeamNeed;
+import org.sassafraslink.wire.generated.VmReport;
+
+/** Measures how state and messages grow, at three sizes, for docs/CAPACITY.md. */
+public final class Slopes {
+  private static final int ROUNDS = 200;
+  private static final double NANOS_IN_MICRO = 1_000;
+
+  private Slopes() {}
+
+  /** Prints bytes and microseconds by size. */
+  public static void main(String[] args) {
+    System.out.println("what,size,bytes,microseconds to read");
+    for (int pools : new int[] {5, 50, 212}) {
+      String config = Json.write(config(pools, pools * 180 / 212 + 1));
+      print("configuration (pools)", pools, config, FleetConfig.class);
+    }
+    for (int vms : new int[] {45, 450, 2_120}) {
+      String row = Json.write(VmOwnership.adopt("vm-" + vms, "pool-" + vms));
+      System.out.printf(Locale.ROOT, "VM rows scanned,%d,%d,%n", vms, row.length() * vms);
+    }
+    for (int teams : new int[] {6, 60, 180}) {
+      String row = Json.write(allotment());
+      System.out.printf(
+          Locale.ROOT, "allotment rows scanned,%d,%d,%n", teams, row.length() * teams);
+    }
+    for (int busy : new int[] {0, 45, 300}) {
+      System.out.printf(
+          Locale.ROOT,
+          "question to a peer (VMs in use),%d,%d,%n",
+          busy,
+          question(busy).getSerializedSize());
+    }
+    for (int jobs : new int[] {100, 1_000, 7_200}) {
+      String row = Json.write(job());
+      System.out.printf(Locale.ROOT, "job rows scanned,%d,%d,%n", jobs, row.length() * jobs);
+    }
+  }
+
+  private static void print(String what, int size, String json, Class<?> type) {
+    for (int i = 0; i < ROUNDS; i++) {
+      Json.readOwn(json, type);
+    }
+    long start = System.nanoTime();
+    for (int i = 0; i < ROUNDS; i++) {
+      Json.readOwn(json, type);
+    }
+    double micros = (System.nanoTime() - start) / NANOS_IN_MICRO / ROUNDS;
+    System.out.printf(Locale.ROOT, "%s,%d,%d,%.0f%n", what, size, json.length(), micros);
+  }
+
+  private static FleetConfig config(int pools, int teams) {
+    ImmutableMap.Builder<String, Pool> poolMap = ImmutableMap.builder();
+    ImmutableMap.Builder<String, Service> services = ImmutableMap.builder();
+    for (int i = 0; i < pools; i++) {
+      String name = "pool-" + i;
+      poolMap.put(name, new Pool(name, 10, false));
+      services.put(
+          "service-" + i,
+          new Service(
+              "service-" + i,
+              name,
+              9_000 + i,
+              8,
+              AnswerCheck.ECHO,
+              new AvailabilityBudget(2, 1),
+              ImmutableMap.of("q", new Queue("q", WorkClass.COUNTER, false, 5_000))));
+    }
+    ImmutableMap.Builder<String, Team> teamMap = ImmutableMap.builder();
+    for (int i = 0; i < teams; i++) {
+      TeamKey key = new TeamKey("key-" + i, Digests.of("key-" + i));
+      teamMap.put("team-" + i, new Team("team-" + i, 10, 100, ImmutableList.of(key)));
+    }
+    return new FleetConfig(
+        FleetConfig.SCHEMA,
+        poolMap.buildOrThrow(),
+        services.buildOrThrow(),
+        ImmutableMap.of(),
+        teamMap.buildOrThrow(),
+        ImmutableMap.of());
+  }
+
+  private static AllotmentRow allotment() {
+    AllotmentRow row = AllotmentRow.create("team-100", 100, 2_100);
+    for (int i = 0; i < Deployment.DAEMONS; i++) {
+      row = row.grow("entry-" + i + "#00000000-0000-0000-0000-000000000000", 12);
+    }
+    return row;
+  }
+
+  private static Question question(int busy) {
+    Load.Builder load = Load.newBuilder();
+    for (int i = 0; i < busy; i++) {
+      load.addVms(VmReport.newBuilder().setVm("vm-" + i).setInFlight(3));
+    }
+    if (busy > 0) {
+      load.addTeams(TeamNeed.newBuilder().setTeam("team-1").setUnmet(4));
+    }
+    return Question.newBuilder().setLoad(load).setMemberEpoch(20).setVmsVersion(100_000).build();
+  }
+
+  private static Job job() {
+    return new Job(
+        "team-1.00000000-0000-0000-0000-000000000000",
+        "team-1",
+        "queue",
+        WorkClass.BOOKKEEPING,
+        new Resources(4, 8_192, 1),
+        60_000,
+        true,
+        0,
+        Job.State.RUNNING,
+        1,
+        Optional.of("worker-1000"),
+        "");
+  }
+}
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/DispatchCore.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/DispatchCore.java
@@ -17,6 +17,7 @@
 import org.sassafraslink.rules.process.MemberSet;
 import org.sassafraslink.rules.process.MemberSet.Member;
 import org.sassafraslink.rules.process.MemberSet.Standing;
+import org.sassafraslink.rules.process.VmOwnership.Phase;
 import org.sassafraslink.rules.request.FailureAfterSend;
 import org.sassafraslink.rules.request.FailureAfterSend.Exchange;
 import org.sassafraslink.rules.request.FairQueue;
@@ -117,7 +118,10 @@
 
   LoadReport report() {
     ImmutableMap.Builder<String, Long> versions = ImmutableMap.builder();
-    surroundings.fleet().get().vms().forEach((vm, row) -> versions.put(vm, row.version()));
+    // Only a draining VM's row version matters to its planner; the rest would fill the network.
+    surroundings.fleet().get().vms().entrySet().stream()
+        .filter(entry -> entry.getValue().value().phase() == Phase.DRAINING)
+        .forEach(entry -> versions.put(entry.getKey(), entry.getValue().version()));
     return new LoadReport(
         teams.unmet(),
         ImmutableMap.of(),
--- a/daemon/src/main/java/org/sassafraslink/daemon/request/LoadReport.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/request/LoadReport.java
@@ -8,7 +8,7 @@
  * @param unmet units that waiting requests lack, by team
  * @param jobUnmet units that waiting jobs lack, by team; only the placer tells them
  * @param inFlight requests in flight, by VM
- * @param rowVersions version of the ownership row that the process acts on, by VM
+ * @param rowVersions version of the ownership row that the process acts on, by draining VM
  */
 public record LoadReport(
     ImmutableMap<String, Integer> unmet,
