Close idle connections after their callers do, and linger before a stop

Ruled out: lost answers (every answered request ran once by the backend's own log).

Change: an idle connection is kept for 330 s; once its first byte has arrived a request must be whole within 15 s, headers included. A stopping daemon refuses for 2 s more on open connections, each closed with its answer, before it closes the rest. SimWorld is split in three files.

--- a/daemon/src/main/java/org/sassafraslink/daemon/connection/CallerConnection.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/connection/CallerConnection.java
@@ -51,6 +51,7 @@
   private int reservedBytes;
   private PendingCall pending;
   private ScheduledFuture<?> readTimeout;
+  private boolean isIdle;
   private boolean inputClosed;
   private boolean closing;
 
@@ -190,15 +191,27 @@
 
   private void awaitRequest() {
     context.channel().config().setAutoRead(true);
-    readTimeout =
-        context
-            .executor()
-            .schedule(
-                this::onReadTimeout, server.limits().readTimeoutMillis(), TimeUnit.MILLISECONDS);
+    isIdle = true;
+    startTimeout(server.limits().idleTimeoutMillis());
+  }
+
+  /** Bytes have arrived: from the first one on, the rest of the request must come in time. */
+  void onBytes() {
+    if (isIdle) {
+      isIdle = false;
+      startTimeout(server.limits().readTimeoutMillis());
+    }
+  }
+
+  private void startTimeout(long millis) {
+    if (readTimeout != null) {
+      readTimeout.cancel(false);
+    }
+    readTimeout = context.executor().schedule(this::onReadTimeout, millis, TimeUnit.MILLISECONDS);
   }
 
   private void onReadTimeout() {
-    if (head == null) {
+    if (isIdle) {
       context.close();
     } else {
       refuse(FailureType.REQUEST_TIMEOUT, "The request did not arrive whole in time.");
--- a/daemon/src/main/java/org/sassafraslink/daemon/connection/EntryServer.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/connection/EntryServer.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -60,7 +62,9 @@
   /**
    * The bounds of the server.
    *
-   * @param readTimeoutMillis longest time from the first wait for a request to its last byte
+   * @param readTimeoutMillis longest time from the first byte of a request to its last
+   * @param idleTimeoutMillis longest wait for a first byte; longer than callers keep connections,
+   *     so that no request meets the close of its connection
    */
   public record Limits(
       String host,
@@ -69,7 +73,8 @@
       int maxHeaderBytes,
       long maxBufferedBytes,
       int maxConnections,
-      long readTimeoutMillis) {}
+      long readTimeoutMillis,
+      long idleTimeoutMillis) {}
 
   private final Surroundings surroundings;
   private final Limits limits;
@@ -206,9 +211,18 @@
       connection.close();
       return;
     }
+    CallerConnection caller = new CallerConnection(this);
     connection
         .pipeline()
+        .addLast(
+            new ChannelInboundHandlerAdapter() {
+              @Override
+              public void channelRead(ChannelHandlerContext context, Object bytes) {
+                caller.onBytes();
+                context.fireChannelRead(bytes);
+              }
+            })
         .addLast(new HttpServerCodec(MAX_INITIAL_LINE, limits.maxHeaderBytes(), MAX_CHUNK))
-        .addLast(new CallerConnection(this));
+        .addLast(caller);
   }
 }
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/Node.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Node.java
@@ -207,7 +207,8 @@
             settings.integer(Setting.MAX_HEADERS),
             settings.integer(Setting.MAX_BUFFERED),
             settings.integer(Setting.MAX_CONNECTIONS),
-            settings.integer(Setting.READ_TIMEOUT)));
+            settings.integer(Setting.READ_TIMEOUT),
+            settings.integer(Setting.IDLE_TIMEOUT)));
   }
 
   private AdminServer startAdmin(String host) {
@@ -291,6 +292,9 @@
     while (entryServer.waiting() > 0 && clock.monotonicMillis() < endMillis) {
       pause(STOP_POLL_MILLIS);
     }
+    // A request that meets the close of an idle connection would look cut to its caller. Those that
+    // come in now are refused, and their connections are closed after the answer.
+    pause(settings.integer(Setting.STOP_LINGER));
     duties.forEach(Duty::close);
     if (entryServer.waiting() == 0) {
       membership.leave();
--- a/daemon/src/main/java/org/sassafraslink/daemon/process/Setting.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/process/Setting.java
@@ -34,9 +34,13 @@
       "max-buffered-bytes", "request bodies held at once", "50331648", 65_536, 1_073_741_824),
   MAX_CONNECTIONS("max-connections", "connections of callers", "4096", 1, 65_536),
   READ_TIMEOUT("read-timeout-ms", "longest wait for a whole request", "15000", 100, 600_000),
+  IDLE_TIMEOUT(
+      "idle-timeout-ms", "longest wait for a request on a connection", "330000", 100, 3_600_000),
   QUEUE_TOTAL("queue-total", "requests that may wait for a service", "2000", 1, 1_000_000),
   QUEUE_PER_TEAM("queue-per-team", "requests of one team that may wait", "1000", 1, 1_000_000),
   STOP_GRACE("stop-grace-ms", "time to serve on after not being ready", "1000", 0, 60_000),
+  STOP_LINGER(
+      "stop-linger-ms", "time to refuse on open connections before closing", "2000", 0, 60_000),
   STOP_TIMEOUT("stop-timeout-ms", "longest wait for requests in flight", "30000", 0, 600_000),
   LOG_FORMAT("log-format", "plain or json", "plain", Kind.TEXT);
 
--- a/daemon/src/test/java/org/sassafraslink/daemon/connection/EntryServerTest.java
+++ b/daemon/src/test/java/org/sassafraslink/daemon/connection/EntryServerTest.java
@@ -80,7 +80,8 @@
                 (call, id) -> answer(call),
                 (call, answer) -> {},
                 result -> {}),
-            new EntryServer.Limits("127.0.0.1", port, MAX_BODY, MAX_HEADERS, 600_000, 100, 300));
+            new EntryServer.Limits(
+                "127.0.0.1", port, MAX_BODY, MAX_HEADERS, 600_000, 100, 300, 60_000));
   }
 
   @AfterEach
@@ -159,6 +160,8 @@
             post(KEY, "12345").replace("345", ""),
             true,
             "request-malformed"),
+        Arguments.of(
+            "slow sender of headers", "POST /s/q/x HTTP/1.1\r\nHost", false, "request-timeout"),
         Arguments.of(
             "slow sender", post(KEY, "12345").replace("345", ""), false, "request-timeout"));
   }
--- a/daemon/src/test/java/org/sassafraslink/daemon/process/SimWorld.java
+++ b/daemon/src/test/java/org/sassafraslink/daemon/process/SimWorld.java
@@ -1,7 +1,6 @@
 package org.sassafraslink.daemon.process;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -14,8 +13,6 @@
 import org.sassafraslink.api.Json;
 import org.sassafraslink.api.model.AuditEntry;
 import org.sassafraslink.api.model.FleetConfig;
-import org.sassafraslink.api.model.FleetConfig.Queue;
-import org.sassafraslink.api.model.FleetConfig.TeamKey;
 import org.sassafraslink.api.platform.Row;
 import org.sassafraslink.api.platform.VmList.Vm;
 import org.sassafraslink.api.platform.VmList.VmRole;
@@ -27,10 +24,7 @@
 import org.sassafraslink.daemon.request.ExchangeOutcome;
 import org.sassafraslink.daemon.request.PendingCall;
 import org.sassafraslink.daemon.version.Publisher.Proposal;
-import org.sassafraslink.rules.process.AllotmentRow;
-import org.sassafraslink.rules.process.MemberSet;
 import org.sassafraslink.rules.process.VmOwnership;
-import org.sassafraslink.rules.process.WavePlan.Progress;
 import org.sassafraslink.rules.request.RequestState;
 import org.sassafraslink.wire.generated.Envelope;
 
@@ -43,7 +37,7 @@
 final class SimWorld {
   static final int NODES = 3;
   static final int BACKENDS = 7;
-  private static final int STEP_MILLIS = 100;
+  static final int STEP_MILLIS = 100;
 
   /** Ends the round of a process that dies in it. */
   private static final class ProcessDied extends RuntimeException {
@@ -74,14 +68,14 @@
   private final List<Running> running = new ArrayList<>();
   private final Map<Integer, List<Runnable>> later = new HashMap<>();
   private final Map<String, Integer> downSince = new HashMap<>();
+  private final SimCallers callers;
   private int now;
-  private int calls;
-  private int idSerial;
 
   SimWorld(ImmutableList<Fault> faults, long seed, Tuning tuning) {
     this.faults = faults;
     this.tuning = tuning;
     this.random = new SplittableRandom(seed);
+    this.callers = new SimCallers(random, promises, () -> now);
     for (int i = 0; i < NODES; i++) {
       addVm("entry-" + i, VmRole.ENTRY, i);
       slots.add(new Slot(i));
@@ -100,7 +94,10 @@
     while (now < lastStep) {
       step();
     }
-    checkRecovered();
+    RecoveryCheck.check(
+        slots.stream().map(slot -> slot.node).collect(ImmutableList.toImmutableList()),
+        platform,
+        promises);
     return promises;
   }
 
@@ -134,7 +131,7 @@
       slot.node = null;
     }
     if (slot.node != null && !isPaused(slot)) {
-      submitCalls(slot);
+      callers.call(slot.node, now);
     }
   }
 
@@ -405,38 +402,6 @@
                         new CallResult.Answered(200, ImmutableList.of(), new byte[0]))));
   }
 
-  private void submitCalls(Slot slot) {
-    Optional<FleetConfig> config = slot.node.inForce().map(active -> active.config());
-    if (config.isEmpty() || config.get().services().isEmpty() || now > 330) {
-      return;
-    }
-    for (String keyId : ImmutableList.of("a1", "b1", "b2")) {
-      if (random.nextInt(3) == 0) {
-        config
-            .get()
-            .keyById(keyId)
-            .ifPresent(found -> submit(slot, found.team().name(), found.key()));
-      }
-    }
-  }
-
-  private void submit(Slot slot, String team, TeamKey key) {
-    int kind = random.nextInt(4);
-    String method = kind == 0 ? "GET" : "POST";
-    Optional<String> requestId =
-        kind == 3 ? Optional.of("id-" + (idSerial += random.nextInt(2))) : Optional.empty();
-    PendingCall call =
-        PendingCall.create(
-            new PendingCall.Request(
-                "call-" + calls++, method, "/q/x", ImmutableList.of(), new byte[0], requestId),
-            random.nextInt(2) == 0 ? "s1" : "s2",
-            new Queue("q", FleetConfig.WorkClass.COUNTER, false, 2_000),
-            Optional.of(new PendingCall.Submitter(team, key)),
-            (long) now * STEP_MILLIS);
-    call.result().thenAccept(result -> promises.onResult(call, result, now));
-    slot.node.core.submit(call);
-  }
-
   /** The operators' day: first configuration, withdrawal, lower limit, maintenance, a move. */
   private void operate() {
     if (now % 10 != 0) {
@@ -484,39 +449,4 @@
       }
     }
   }
-
-  private void checkRecovered() {
-    for (Slot slot : slots) {
-      long version = slot.node.inForce().map(active -> active.version()).orElse(-1L);
-      if (version != Configs.COUNT) {
-        promises.missing(slot.node.id + " has version " + version);
-      }
-    }
-    ImmutableMap<String, Row> rows = platform.rows(AllotmentRow.prefix());
-    MemberSet members =
-        Json.readOwn(
-            platform.table.read(MemberSet.KEY).get().orElseThrow().value(), MemberSet.class);
-    for (Row row : rows.values()) {
-      AllotmentRow allotment = Json.readOwn(row.value(), AllotmentRow.class);
-      allotment.units().keySet().stream()
-          .filter(holder -> slots.stream().noneMatch(slot -> slot.node.id.equals(holder)))
-          .forEach(holder -> promises.missing("units of " + holder + " are not reclaimed"));
-      if (allotment.total() > allotment.limit()) {
-        promises.missing("allotments of " + allotment.team() + " exceed the limit");
-      }
-    }
-    if (members.full().size() != NODES) {
-      promises.missing("full members: " + members.full());
-    }
-    checkWaveDone();
-  }
-
-  private void checkWaveDone() {
-    Optional<Row> row = platform.table.read(Progress.key(Configs.PLAN)).get();
-    int done =
-        row.map(found -> Json.readOwn(found.value(), Progress.class).done().size()).orElse(0);
-    if (done < Configs.POOL_SIZE) {
-      promises.missing("wave has rebooted " + done + " VMs");
-    }
-  }
 }
