--- a/cli/src/main/java/org/sassafraslink/cli/Printer.java
+++ b/cli/src/main/java/org/sassafraslink/cli/Printer.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.PrintStream;
+import java.time.Instant;
 import java.util.Locale;
 import org.sassafraslink.api.Json;
 
@@ -133,7 +134,7 @@
               "version %d by %s at %s%n%s",
               entry.get("version").asLong(),
               entry.get("author").asText(),
-              java.time.Instant.ofEpochMilli(entry.get("atMillis").asLong()),
+              Instant.ofEpochMilli(entry.get("atMillis").asLong()),
               changes(entry.get("changes"))));
     }
     return text.toString();
--- a/config/src/main/java/org/sassafraslink/config/ConfigDiff.java
+++ b/config/src/main/java/org/sassafraslink/config/ConfigDiff.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.sassafraslink.api.Json;
@@ -26,8 +27,7 @@
   }
 
   /** Whether two sets of changes touch a field in common; returns the first such field. */
-  public static java.util.Optional<String> overlap(
-      ImmutableList<Change> mine, ImmutableList<Change> theirs) {
+  public static Optional<String> overlap(ImmutableList<Change> mine, ImmutableList<Change> theirs) {
     return mine.stream()
         .map(Change::field)
         .filter(field -> theirs.stream().anyMatch(change -> change.field().equals(field)))
--- a/rules/src/main/java/org/sassafraslink/rules/process/DeathProof.java
+++ b/rules/src/main/java/org/sassafraslink/rules/process/DeathProof.java
@@ -49,11 +49,6 @@
     return wasListed && since != null && nowMillis - since >= absenceMillis;
   }
 
-  /** Whether the last list lacked {@code vm} although an earlier one had it. */
-  public boolean isAbsent(String vm) {
-    return absentSince.containsKey(vm);
-  }
-
   private static Optional<Vm> find(Listing listing, String id) {
     return listing.vms().stream().filter(vm -> vm.id().equals(id)).findFirst();
   }
--- a/rules/src/main/java/org/sassafraslink/rules/process/PoolPlan.java
+++ b/rules/src/main/java/org/sassafraslink/rules/process/PoolPlan.java
@@ -1,10 +1,7 @@
 package org.sassafraslink.rules.process;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import org.sassafraslink.api.model.FleetConfig;
 import org.sassafraslink.api.model.FleetConfig.Pool;
@@ -58,13 +55,6 @@
     return config.pools().values().stream().filter(Pool::spare).map(Pool::name).findFirst();
   }
 
-  /** The number of VMs in each pool. */
-  public static ImmutableMap<String, Integer> sizes(ImmutableList<Placed> placed) {
-    Map<String, Integer> sizes = new LinkedHashMap<>();
-    placed.forEach(vm -> sizes.merge(vm.pool(), 1, Integer::sum));
-    return ImmutableMap.copyOf(sizes);
-  }
-
   private static long count(ImmutableList<Placed> placed, String pool) {
     return placed.stream().filter(vm -> vm.pool().equals(pool)).count();
   }
--- a/rules/src/main/java/org/sassafraslink/rules/request/FairQueue.java
+++ b/rules/src/main/java/org/sassafraslink/rules/request/FairQueue.java
@@ -129,11 +129,6 @@
     return size;
   }
 
-  /** The number of waiting entries of {@code team}. */
-  public int sizeOf(String team) {
-    return flows.containsKey(team) ? flows.get(team).size : 0;
-  }
-
   /** The team's first entry that may start, the most urgent class first. */
   private Optional<Choice<T>> first(Flow<T> flow, Predicate<Entry<T>> mayStart) {
     return flow.entries.values().stream()
--- a/rules/src/main/java/org/sassafraslink/rules/request/RequestState.java
+++ b/rules/src/main/java/org/sassafraslink/rules/request/RequestState.java
@@ -12,7 +12,6 @@
   QUEUED,
   ASSIGNED,
   SENDING,
-  SENT,
   ANSWERED,
   ABANDONED;
 
--- a/rules/src/main/java/org/sassafraslink/rules/version/Freshness.java
+++ b/rules/src/main/java/org/sassafraslink/rules/version/Freshness.java
@@ -1,7 +1,9 @@
 package org.sassafraslink.rules.version;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -103,12 +105,12 @@
     Map<String, Long> votes = new LinkedHashMap<>(promises);
     votes.put(self, nowMillis);
     return votes.values().stream()
-        .sorted(java.util.Comparator.reverseOrder())
+        .sorted(Comparator.reverseOrder())
         .filter(time -> members.isMajority(votersSince(votes, time)))
         .findFirst();
   }
 
-  private static java.util.List<String> votersSince(Map<String, Long> votes, long time) {
+  private static List<String> votersSince(Map<String, Long> votes, long time) {
     return votes.entrySet().stream()
         .filter(vote -> vote.getValue() >= time)
         .map(Map.Entry::getKey)
--- a/wire/src/main/java/org/sassafraslink/wire/PeerClient.java
+++ b/wire/src/main/java/org/sassafraslink/wire/PeerClient.java
@@ -1,7 +1,6 @@
 package org.sassafraslink.wire;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -95,11 +94,4 @@
       answer.complete(message);
     }
   }
-
-  /** Whether the connection is open now. */
-  public boolean isConnected() {
-    ChannelFuture open = connection;
-    Channel channel = open == null ? null : open.channel();
-    return channel != null && channel.isActive();
-  }
 }
