Answer pipelined requests one by one, also when one is refused at once

Cause: found by reading. A request refused at once left no call behind, so the connection went on to the next one before the refusal was written, and the refusal's answer then cleared the next call.

Change: a connection is busy from a whole request to its answer, taken or refused.

--- a/daemon/src/main/java/org/sassafraslink/daemon/connection/CallerConnection.java
+++ b/daemon/src/main/java/org/sassafraslink/daemon/connection/CallerConnection.java
@@ -52,6 +52,10 @@
   private PendingCall pending;
   private ScheduledFuture<?> readTimeout;
   private boolean isIdle;
+
+  /** Whether a whole request has no answer yet, be it taken or refused. */
+  private boolean busy;
+
   private boolean inputClosed;
   private boolean closing;
 
@@ -84,7 +88,7 @@
 
   /** Reads what is decoded, up to the end of a request. */
   private void readAhead() {
-    while (!decodedAhead.isEmpty() && (closing || pending == null)) {
+    while (!decodedAhead.isEmpty() && (closing || !busy)) {
       HttpObject message = decodedAhead.remove();
       try {
         if (!closing) {
@@ -102,7 +106,7 @@
       inputClosed = true;
       if (head != null) {
         refuse(FailureType.REQUEST_MALFORMED, "The connection was closed within the request.");
-      } else if (pending == null) {
+      } else if (!busy) {
         ctx.close();
       }
     }
@@ -167,6 +171,7 @@
     boolean keepAlive = HttpUtil.isKeepAlive(head);
     head = null;
     context.channel().config().setAutoRead(false);
+    busy = true;
     pending =
         server.accept(
             request,
@@ -175,6 +180,7 @@
 
   private void answer(IncomingRequest request, CallResult result, boolean keepAlive) {
     pending = null;
+    busy = false;
     releaseBytes();
     boolean reuse = keepAlive && !inputClosed && !server.isStopping();
     DefaultFullHttpResponse response = toResponse(request, result);
@@ -251,7 +257,7 @@
       readTimeout.cancel(false);
     }
     head = null;
-    if (pending == null) {
+    if (!busy) {
       releaseBytes();
     }
   }
