--- /dev/null
+++ b/api/src/main/java/org/sassafraslink/api/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines. */
+package org.sassafraslink.api.log;
--- /dev/null
+++ b/entry/src/main/java/org/sassafraslink/entry/connection/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as a connection. */
+package org.sassafraslink.entry.connection;
--- /dev/null
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatch.java
@@ -0,0 +1,179 @@
+package org.sassafraslink.entry.process;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.FleetSettings;
+import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.RowStore.Range;
+import org.sassafraslink.api.fleet.RowStore.Rows;
+import org.sassafraslink.api.fleet.RowStore.StoredRow;
+import org.sassafraslink.api.fleet.Wave;
+import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.platform.fleet.OperatorRows;
+
+/**
+ * Follows what the operator writes: the configuration, which never goes back, and waves.
+ *
+ * <p>Its long polls also tell whether this VM reaches the store. Confined to one thread.
+ */
+public final class ConfigWatch {
+  /** How long a request waits at the store for a change, in ms. */
+  private static final int WAIT_MILLIS = 1_000;
+
+  /** Pause after a failed call, in ms. */
+  private static final int RETRY_MILLIS = 100;
+
+  /**
+   * A store that has not answered for this long is taken as out of reach, in ms: one long poll, and
+   * a slow answer.
+   */
+  private static final long SILENT_MILLIS = 1_600;
+
+  private final RowStore store;
+  private final FleetClock clock;
+  private final EventLog log;
+  private final BiConsumer<Runnable, Integer> later;
+  private final Consumer<FleetSettings> onConfig;
+  private final Consumer<ImmutableList<Wave>> onWaves;
+  private final Map<Long, Wave> waves = new TreeMap<>();
+  private Optional<FleetSettings> settings = Optional.empty();
+  private long feedVersion = -1;
+  private long answeredMillis;
+  private boolean silent;
+
+  private ConfigWatch(
+      RowStore store,
+      FleetClock clock,
+      EventLog log,
+      BiConsumer<Runnable, Integer> later,
+      Consumer<FleetSettings> onConfig,
+      Consumer<ImmutableList<Wave>> onWaves) {
+    this.store = store;
+    this.clock = clock;
+    this.log = log;
+    this.later = later;
+    this.onConfig = onConfig;
+    this.onWaves = onWaves;
+  }
+
+  /**
+   * A watch that has not begun.
+   *
+   * @param later runs a task on the watch's thread after a number of ms
+   */
+  public static ConfigWatch create(
+      RowStore store,
+      FleetClock clock,
+      EventLog log,
+      BiConsumer<Runnable, Integer> later,
+      Consumer<FleetSettings> onConfig,
+      Consumer<ImmutableList<Wave>> onWaves) {
+    return new ConfigWatch(store, clock, log, later, onConfig, onWaves);
+  }
+
+  /** Begins to follow. */
+  public void start() {
+    answeredMillis = clock.monotonicMillis();
+    next();
+  }
+
+  /** The newest configuration that this process has seen. */
+  public Optional<FleetSettings> settings() {
+    return settings;
+  }
+
+  /** How long ago the store last confirmed that nothing newer is known, in ms. */
+  public long ageMillis(long nowMillis) {
+    return nowMillis - answeredMillis;
+  }
+
+  /** Whether the store seems out of reach. */
+  public boolean isStoreSilent(long nowMillis) {
+    return ageMillis(nowMillis) > SILENT_MILLIS;
+  }
+
+  private void next() {
+    if (feedVersion < 0) {
+      store.read(new Range(OperatorRows.TABLE, "", "", ""), this::onAnswer);
+    } else {
+      store.changes(OperatorRows.TABLE, feedVersion, WAIT_MILLIS, this::onAnswer);
+    }
+  }
+
+  private void onAnswer(Either<CallFailure, Rows> answer) {
+    long now = clock.monotonicMillis();
+    if (answer.isLeft()) {
+      if (answer.getLeft() == CallFailure.HISTORY_DISCARDED) {
+        log.log("config.history_discarded", "after", feedVersion);
+        feedVersion = -1;
+      } else if (!silent) {
+        silent = true;
+        log.log("store.lost", "failure", answer.getLeft(), "age", now - answeredMillis);
+      }
+      later.accept(this::next, RETRY_MILLIS);
+      return;
+    }
+    if (silent) {
+      silent = false;
+      log.log("store.regained", "after", now - answeredMillis);
+    }
+    answeredMillis = now;
+    feedVersion = answer.get().version();
+    boolean hasWaves = false;
+    for (StoredRow row : answer.get().rows()) {
+      if (row.deleted()) {
+        continue;
+      }
+      if (OperatorRows.isConfig(row)) {
+        takeConfig(row);
+      } else if (OperatorRows.isWave(row)) {
+        hasWaves |= takeWave(row);
+      }
+    }
+    if (hasWaves) {
+      onWaves.accept(ImmutableList.copyOf(waves.values()));
+    }
+    next();
+  }
+
+  private void takeConfig(StoredRow row) {
+    Optional<FleetSettings> read = OperatorRows.config(row);
+    if (read.isEmpty()) {
+      log.log("config.unreadable", "row", row.version());
+      return;
+    }
+    long known = settings.map(FleetSettings::version).orElse(-1L);
+    if (read.get().version() <= known) {
+      return;
+    }
+    settings = read;
+    log.log(
+        "config.in_force",
+        "version",
+        read.get().version(),
+        "previous",
+        known,
+        "queues",
+        read.get().queues().size(),
+        "teams",
+        read.get().teams().size());
+    onConfig.accept(read.get());
+  }
+
+  private boolean takeWave(StoredRow row) {
+    Optional<Wave> wave = OperatorRows.wave(row);
+    if (wave.isEmpty()) {
+      log.log("wave.unreadable", "row", row.key().key());
+      return false;
+    }
+    waves.put(wave.get().number(), wave.get());
+    return true;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -0,0 +1,143 @@
+package org.sassafraslink.entry.process;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.sassafraslink.api.fleet.AdvicePort;
+import org.sassafraslink.api.fleet.NodeSettings;
+import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.entry.connection.CallerServer;
+import org.sassafraslink.entry.connection.StatusServer;
+import org.sassafraslink.entry.request.JobCalls;
+import org.sassafraslink.entry.request.SubmissionDesk;
+import org.sassafraslink.platform.fleet.FleetAdvice;
+import org.sassafraslink.platform.fleet.FleetMachines;
+import org.sassafraslink.platform.fleet.FleetRowStore;
+import org.sassafraslink.platform.fleet.FleetWorkers;
+import org.sassafraslink.platform.fleet.HttpCaller;
+import org.sassafraslink.scheduler.Scheduler;
+import org.sassafraslink.scheduler.SchedulerSettings;
+
+/** The parts and threads of one process on an entry VM. */
+public final class EntryNode {
+  /** Connections of callers; well inside the VM's bound on descriptors. */
+  private static final int MAX_CONNECTIONS = 3_000;
+
+  /** Part of the time to stop that is used to end requests in flight. */
+  private static final double DRAIN_PART = 0.6;
+
+  /** How long open connections may still bring requests after the request to stop, in ms. */
+  private static final long LINGER_MILLIS = 1_200;
+
+  private static final long STOP_POLL_MILLIS = 50;
+
+  private final NodeSettings settings;
+  private final EventLog log;
+  private final SystemClock clock = new SystemClock();
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final SchedulerThread schedulerThread;
+  private final Scheduler scheduler;
+  private final ConfigWatch config;
+  private final CallerServer callers;
+  private volatile boolean stopping;
+
+  private EntryNode(NodeSettings settings, EventLog log, String process) {
+    this.settings = settings;
+    this.log = log;
+    EventLoop loop = group.next();
+    BiConsumer<Runnable, Integer> later =
+        (task, millis) -> loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+    HttpCaller http = HttpCaller.on(loop);
+    RowStore store = FleetRowStore.at(settings.store(), http);
+    schedulerThread = new SchedulerThread(log);
+    Optional<AdvicePort> advice =
+        settings
+            .advice()
+            .map(address -> PortsOnThread.advice(FleetAdvice.at(address, http), schedulerThread));
+    scheduler =
+        Scheduler.create(
+            PortsOnThread.rows(store, schedulerThread),
+            PortsOnThread.workers(FleetWorkers.over(http), schedulerThread),
+            PortsOnThread.machines(FleetMachines.at(settings.machines(), http), schedulerThread),
+            advice,
+            clock,
+            log,
+            new PlatformFormats(),
+            SchedulerSettings.of(settings, process));
+    config =
+        ConfigWatch.create(
+            store,
+            clock,
+            log,
+            later,
+            newest -> schedulerThread.execute(() -> scheduler.onConfig(newest)),
+            waves -> schedulerThread.execute(() -> scheduler.onWaves(waves)));
+    SubmissionDesk desk = SubmissionDesk.create(store, clock, log, later);
+    JobCalls calls = JobCalls.create(config, store, desk, clock, log);
+    callers = CallerServer.create(calls::handle, clock, MAX_CONNECTIONS);
+  }
+
+  /** Starts all parts; listens last. */
+  public static EntryNode start(NodeSettings settings, EventLog log, String process) {
+    EntryNode node = new EntryNode(settings, log, process);
+    node.group.next().execute(node.config::start);
+    node.schedulerThread.start(node.scheduler);
+    node.callers.listen(node.group, settings.callers());
+    StatusServer.create(node::isReady).listen(node.group, settings.readiness());
+    log.log("process.started", "process", process, "uptime", upMillis());
+    return node;
+  }
+
+  private static long upMillis() {
+    return java.lang.management.ManagementFactory.getRuntimeMXBean().getUptime();
+  }
+
+  private boolean isReady() {
+    return !stopping
+        && config.settings().isPresent()
+        && !config.isStoreSilent(clock.monotonicMillis());
+  }
+
+  /** Ends requests in flight, hands the scheduling lease on, and returns within the grace time. */
+  public void stop() {
+    stopping = true;
+    log.log("process.stopping", "holder", scheduler.holderNode());
+    schedulerThread.execute(scheduler::stop);
+    long start = clock.monotonicMillis();
+    long last = start + (long) (settings.graceMillis() * DRAIN_PART);
+    pause(LINGER_MILLIS);
+    CountDownLatch told = new CountDownLatch(1);
+    group
+        .next()
+        .execute(
+            () -> {
+              callers.stop();
+              told.countDown();
+            });
+    try {
+      while (clock.monotonicMillis() < last
+          && (!told.await(STOP_POLL_MILLIS, TimeUnit.MILLISECONDS) || callers.inFlight() > 0)) {
+        pause(STOP_POLL_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    schedulerThread.stop();
+    log.log("process.stopped", "inFlight", callers.inFlight());
+    pause(STOP_POLL_MILLIS);
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/sassafraslink/entry/process/PlatformFormats.java
@@ -0,0 +1,36 @@
+package org.sassafraslink.entry.process;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.sassafraslink.api.failure.Failure;
+import org.sassafraslink.api.fleet.JobSpec;
+import org.sassafraslink.api.fleet.RowStore.Put;
+import org.sassafraslink.api.fleet.RowStore.StoredRow;
+import org.sassafraslink.api.fleet.WorkerEntry;
+import org.sassafraslink.platform.fleet.JobBodies;
+import org.sassafraslink.platform.fleet.OperatorRows;
+import org.sassafraslink.platform.fleet.WorkerEntryDecoder;
+import org.sassafraslink.scheduler.RowFormats;
+
+/** The platform's row formats, for the scheduler. */
+public final class PlatformFormats implements RowFormats {
+  @Override
+  public String workerTable() {
+    return WorkerEntryDecoder.TABLE;
+  }
+
+  @Override
+  public Optional<WorkerEntry> worker(StoredRow row) {
+    return WorkerEntryDecoder.decode(row);
+  }
+
+  @Override
+  public Either<Failure, JobSpec> job(String id, String row) {
+    return JobBodies.decode(id, row);
+  }
+
+  @Override
+  public Put waveStatus(long wave, boolean completed) {
+    return OperatorRows.waveStatus(wave, completed);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/sassafraslink/entry/process/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as the process. */
+package org.sassafraslink.entry.process;
--- /dev/null
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionDesk.java
@@ -0,0 +1,241 @@
+package org.sassafraslink.entry.request;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.sassafraslink.api.failure.Failure;
+import org.sassafraslink.api.failure.FailureType;
+import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.RowStore.Change;
+import org.sassafraslink.api.fleet.RowStore.Expectation;
+import org.sassafraslink.api.fleet.RowStore.Outcome;
+import org.sassafraslink.api.fleet.RowStore.Put;
+import org.sassafraslink.api.fleet.RowStore.RowKey;
+import org.sassafraslink.api.fleet.RowStore.StoredRow;
+import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.JobRows;
+import org.sassafraslink.scheduler.JobRows.Kind;
+
+/**
+ * Stores submitted jobs before they are accepted.
+ *
+ * <p>Submissions that wait together share a transaction, which inserts each only if its id is new;
+ * a known id is answered as accepted, since it is the same job. A job is refused only while no
+ * insert of it can have been applied or still be applied; after an insert without an answer, the
+ * same insert is repeated, and if the store cannot tell in time, the outcome is unknown.
+ *
+ * <p>Confined to one thread.
+ */
+public final class SubmissionDesk {
+  /** Submissions in one transaction; each takes three entries of the platform's 100. */
+  private static final int BATCH = 30;
+
+  /** How long a job that is certainly not stored may wait for the store, in ms. */
+  private static final long REFUSE_MILLIS = 140;
+
+  /** Pause after a failed transaction, in ms. */
+  private static final int RETRY_MILLIS = 60;
+
+  /** The answer is sent this long before the caller stops waiting, in ms. */
+  private static final long ANSWER_MARGIN_MILLIS = 150;
+
+  /** When a refused caller may come again, in seconds. */
+  private static final int RETRY_AFTER_SECONDS = 1;
+
+  /** A job on its way into the store. */
+  private static final class Submission {
+    private final String job;
+    private final String row;
+    private final long receivedMillis;
+    private final long deadlineMillis;
+    private final Consumer<CallerAnswer> done;
+
+    /** Whether an insert may have been applied, or may be applied later. */
+    private boolean uncertain;
+
+    Submission(
+        String job,
+        String row,
+        long receivedMillis,
+        long deadlineMillis,
+        Consumer<CallerAnswer> done) {
+      this.job = job;
+      this.row = row;
+      this.receivedMillis = receivedMillis;
+      this.deadlineMillis = deadlineMillis;
+      this.done = done;
+    }
+  }
+
+  private final RowStore store;
+  private final FleetClock clock;
+  private final EventLog log;
+  private final BiConsumer<Runnable, Integer> later;
+  private final Deque<Submission> waiting = new ArrayDeque<>();
+  private boolean pending;
+
+  private SubmissionDesk(
+      RowStore store, FleetClock clock, EventLog log, BiConsumer<Runnable, Integer> later) {
+    this.store = store;
+    this.clock = clock;
+    this.log = log;
+    this.later = later;
+  }
+
+  /**
+   * A desk that inserts into {@code store}.
+   *
+   * @param later runs a task on the desk's thread after a number of ms
+   */
+  public static SubmissionDesk create(
+      RowStore store, FleetClock clock, EventLog log, BiConsumer<Runnable, Integer> later) {
+    return new SubmissionDesk(store, clock, log, later);
+  }
+
+  /** Stores a job; {@code done} hears the answer to its caller. */
+  public void submit(String job, String row, long deadlineMillis, Consumer<CallerAnswer> done) {
+    waiting.add(new Submission(job, row, clock.monotonicMillis(), deadlineMillis, done));
+    pump();
+  }
+
+  /** How many submissions wait for the store. */
+  public int waiting() {
+    return waiting.size();
+  }
+
+  private void pump() {
+    if (pending) {
+      return;
+    }
+    giveUpOverdue();
+    List<Submission> batch = new ArrayList<>();
+    Set<String> ids = new HashSet<>();
+    Deque<Submission> postponed = new ArrayDeque<>();
+    while (!waiting.isEmpty() && batch.size() < BATCH) {
+      Submission next = waiting.poll();
+      // The same id twice in one transaction would conflict with itself.
+      if (ids.add(next.job)) {
+        batch.add(next);
+      } else {
+        postponed.add(next);
+      }
+    }
+    waiting.addAll(postponed);
+    if (batch.isEmpty()) {
+      return;
+    }
+    pending = true;
+    store.change(
+        insert(batch),
+        outcome -> {
+          pending = false;
+          onOutcome(outcome, batch);
+        });
+  }
+
+  private static Change insert(List<Submission> batch) {
+    ImmutableList.Builder<Expectation> expectations = ImmutableList.builder();
+    ImmutableList.Builder<Put> puts = ImmutableList.builder();
+    for (Submission submission : batch) {
+      RowKey key = JobRows.key(submission.job, Kind.SUBMISSION);
+      expectations.add(new Expectation(key, RowStore.ABSENT));
+      RowKey last = JobRows.key(submission.job, Kind.FINAL);
+      expectations.add(new Expectation(last, RowStore.ABSENT));
+      puts.add(new Put(key, submission.row));
+    }
+    return new Change(expectations.build(), puts.build(), ImmutableList.of());
+  }
+
+  private void onOutcome(Outcome outcome, List<Submission> batch) {
+    if (outcome instanceof Outcome.Committed) {
+      batch.forEach(submission -> answer(submission, CallerAnswer.ok(), "stored"));
+      pump();
+    } else if (outcome instanceof Outcome.Conflict conflict) {
+      Set<String> known = new HashSet<>();
+      for (StoredRow row : conflict.current()) {
+        if (!row.deleted() && row.version() != RowStore.ABSENT) {
+          known.add(row.key().key());
+        }
+      }
+      for (Submission submission : batch) {
+        boolean isKnown =
+            known.contains(JobRows.key(submission.job, Kind.SUBMISSION).key())
+                || known.contains(JobRows.key(submission.job, Kind.FINAL).key());
+        if (isKnown) {
+          answer(submission, CallerAnswer.ok(), "known");
+        } else {
+          waiting.addFirst(submission);
+        }
+      }
+      pump();
+    } else {
+      onFailure(((Outcome.Failed) outcome).failure(), batch);
+    }
+  }
+
+  private void onFailure(CallFailure failure, List<Submission> batch) {
+    for (Submission submission : batch) {
+      submission.uncertain |= failure != CallFailure.NOT_PERFORMED;
+      waiting.addFirst(submission);
+    }
+    log.log("submissions.not_stored", "failure", failure, "jobs", batch.size());
+    giveUpOverdue();
+    if (!waiting.isEmpty()) {
+      later.accept(this::pump, RETRY_MILLIS);
+    }
+  }
+
+  private void giveUpOverdue() {
+    long now = clock.monotonicMillis();
+    waiting.removeIf(
+        submission -> {
+          if (submission.uncertain) {
+            boolean isOver = now >= submission.deadlineMillis - ANSWER_MARGIN_MILLIS;
+            if (isOver) {
+              answer(
+                  submission,
+                  CallerAnswer.failed(
+                      Failure.of(
+                          FailureType.STORE_OUTCOME_UNKNOWN,
+                          "The store has not told whether the job is stored.")),
+                  "unknown");
+            }
+            return isOver;
+          }
+          boolean isOver =
+              now - submission.receivedMillis >= REFUSE_MILLIS
+                  || now >= submission.deadlineMillis - ANSWER_MARGIN_MILLIS;
+          if (isOver) {
+            answer(
+                submission,
+                CallerAnswer.failed(
+                    Failure.of(FailureType.STORE_UNAVAILABLE, "The job is not stored."),
+                    RETRY_AFTER_SECONDS),
+                "refused");
+          }
+          return isOver;
+        });
+  }
+
+  private void answer(Submission submission, CallerAnswer answer, String outcome) {
+    log.log(
+        "job.submitted",
+        "job",
+        submission.job,
+        "outcome",
+        outcome,
+        "status",
+        answer.status(),
+        "millis",
+        clock.monotonicMillis() - submission.receivedMillis);
+    submission.done.accept(answer);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/sassafraslink/entry/request/package-info.java
@@ -0,0 +1,2 @@
+/** What lives as long as a request. */
+package org.sassafraslink.entry.request;
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -0,0 +1,159 @@
+package org.sassafraslink.scheduler;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.sassafraslink.api.fleet.JobSpec;
+import org.sassafraslink.api.fleet.JobState;
+import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.StepSpec;
+import org.sassafraslink.api.fleet.TaskId;
+
+/** A live job: its tasks, and which of its changes are committed. Confined to the scheduler. */
+final class Job {
+  final JobSpec spec;
+  final TeamUse team;
+
+  /** When this process first saw the job, monotonic ms. */
+  final long seenMillis;
+
+  /** The version of its progress row; absent before the first commit. */
+  long progressVersion = RowStore.ABSENT;
+
+  JobState state = JobState.QUEUED;
+
+  /** Whether its submitter has cancelled it. */
+  boolean cancelRequested;
+
+  /** Whether its final state is committed. */
+  boolean finalCommitted;
+
+  /** Counts the changes of the job since this process has it. */
+  long changes;
+
+  /** The value of {@link #changes} that the last commit contained. */
+  long committedChanges;
+
+  /** When a change last had to wait for a commit, monotonic ms; 0 if none does. */
+  long changedMillis;
+
+  private final ImmutableList<ImmutableList<ImmutableList<Task>>> occurrences;
+
+  private Job(JobSpec spec, TeamUse team, long seenMillis) {
+    this.spec = spec;
+    this.team = team;
+    this.seenMillis = seenMillis;
+    ImmutableList.Builder<ImmutableList<ImmutableList<Task>>> all = ImmutableList.builder();
+    for (int occurrence = 0; occurrence < spec.occurrences(); occurrence++) {
+      all.add(tasksOf(occurrence));
+    }
+    this.occurrences = all.build();
+  }
+
+  /** A job none of whose tasks has started. */
+  static Job create(JobSpec spec, TeamUse team, long nowMillis) {
+    return new Job(spec, team, nowMillis);
+  }
+
+  private ImmutableList<ImmutableList<Task>> tasksOf(int occurrence) {
+    ImmutableList.Builder<ImmutableList<Task>> steps = ImmutableList.builder();
+    for (int number = 0; number < spec.steps().size(); number++) {
+      StepSpec step = spec.steps().get(number);
+      ImmutableList.Builder<Task> tasks = ImmutableList.builder();
+      for (int index = 0; index < step.count(); index++) {
+        tasks.add(new Task(this, new TaskId(spec.id(), occurrence, number, index), step));
+      }
+      steps.add(tasks.build());
+    }
+    return steps.build();
+  }
+
+  /** The tasks by occurrence and step. */
+  ImmutableList<ImmutableList<ImmutableList<Task>>> occurrences() {
+    return occurrences;
+  }
+
+  /** The task with this name; null if the job has none. */
+  Task task(TaskId id) {
+    boolean exists =
+        id.occurrence() >= 0
+            && id.occurrence() < occurrences.size()
+            && id.step() >= 0
+            && id.step() < spec.steps().size()
+            && id.index() >= 0
+            && id.index() < spec.steps().get(id.step()).count();
+    return exists ? occurrences.get(id.occurrence()).get(id.step()).get(id.index()) : null;
+  }
+
+  void forEachTask(Consumer<Task> action) {
+    occurrences.forEach(steps -> steps.forEach(tasks -> tasks.forEach(action)));
+  }
+
+  /** Notes a change that a commit must contain. */
+  void touch(long nowMillis) {
+    changes++;
+    if (changedMillis == 0) {
+      changedMillis = nowMillis;
+    }
+  }
+
+  boolean isDirty() {
+    return changes > committedChanges;
+  }
+
+  /** Whether some task has ever been started. */
+  boolean hasBegun() {
+    return state != JobState.QUEUED;
+  }
+
+  /** Whether no attempt may be on a worker any more. */
+  boolean isQuiet() {
+    return occurrences.stream()
+        .flatMap(List::stream)
+        .flatMap(List::stream)
+        .noneMatch(task -> task.phase.occupiesWorker());
+  }
+
+  /** Whether all tasks have ended successfully. */
+  boolean allDone() {
+    return occurrences.stream()
+        .flatMap(List::stream)
+        .flatMap(List::stream)
+        .allMatch(task -> task.phase == TaskPhase.DONE);
+  }
+
+  /** Whether a step's earlier steps are done and its time has come. */
+  boolean isStepReady(int occurrence, int number, long wallMillis) {
+    if (spec.dueMillis(occurrence) > wallMillis) {
+      return false;
+    }
+    ImmutableList<ImmutableList<Task>> steps = occurrences.get(occurrence);
+    for (int earlier : spec.steps().get(number).after()) {
+      for (Task task : steps.get(earlier)) {
+        if (task.phase != TaskPhase.DONE) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  /** The tasks that wait and may start now. */
+  List<Task> startable(long wallMillis) {
+    List<Task> result = new ArrayList<>();
+    for (int occurrence = 0; occurrence < occurrences.size(); occurrence++) {
+      ImmutableList<ImmutableList<Task>> steps = occurrences.get(occurrence);
+      for (int number = 0; number < steps.size(); number++) {
+        if (isStepReady(occurrence, number, wallMillis)) {
+          for (Task task : steps.get(number)) {
+            if (task.phase == TaskPhase.WAITING) {
+              result.add(task);
+            }
+          }
+        }
+      }
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
@@ -0,0 +1,80 @@
+package org.sassafraslink.scheduler;
+
+import com.google.common.collect.ImmutableList;
+import org.sassafraslink.api.fleet.QueueConfig;
+import org.sassafraslink.api.fleet.StepSpec;
+
+/**
+ * Decides which jobs get workers first.
+ *
+ * <p>Tasks that last come first, since they serve all the time. Then come jobs that can still meet
+ * their objective, the earliest deadline first; then late ones; a job so late that it is worth
+ * nothing waits for all others.
+ */
+final class JobOrder {
+  /** A job counts as late up to this multiple of its objective, and as lost beyond. */
+  private static final double LATE_FACTOR = 3;
+
+  /** How a job ranks; lower goes first. */
+  record Rank(int group, double key) implements Comparable<Rank> {
+    @Override
+    public int compareTo(Rank other) {
+      return group != other.group
+          ? Integer.compare(group, other.group)
+          : Double.compare(key, other.key);
+    }
+  }
+
+  private final DurationModel durations;
+
+  JobOrder(DurationModel durations) {
+    this.durations = durations;
+  }
+
+  Rank rank(Job job, QueueConfig queue, long wallMillis) {
+    boolean lasts = job.spec.steps().stream().anyMatch(StepSpec::lasting);
+    if (lasts) {
+      return new Rank(0, job.spec.acceptedMillis());
+    }
+    double whole = chainMillis(job, queue.name(), false);
+    double remaining = chainMillis(job, queue.name(), true);
+    double objective = queue.slackFactor() * whole + queue.targetLatencyMillis();
+    double since = job.spec.scheduled() ? job.spec.firstDueMillis() : job.spec.acceptedMillis();
+    double finish = wallMillis + remaining;
+    if (finish <= since + objective) {
+      return new Rank(1, since + objective - remaining);
+    }
+    if (finish <= since + LATE_FACTOR * objective) {
+      return new Rank(2, since + LATE_FACTOR * objective - remaining);
+    }
+    return new Rank(3, since);
+  }
+
+  /** The expected time of the longest chain of steps in ms, in all or of what is not done yet. */
+  private double chainMillis(Job job, String queue, boolean onlyRemaining) {
+    ImmutableList<StepSpec> steps = job.spec.steps();
+    double[] ends = new double[steps.size()];
+    double longest = 0;
+    for (int number = 0; number < steps.size(); number++) {
+      double start = 0;
+      for (int earlier : steps.get(number).after()) {
+        start = Math.max(start, ends[earlier]);
+      }
+      boolean counts = !onlyRemaining || !isStepDone(job, number);
+      ends[number] = start + (counts ? durations.expectedMillis(queue, steps.get(number)) : 0);
+      longest = Math.max(longest, ends[number]);
+    }
+    return longest;
+  }
+
+  private static boolean isStepDone(Job job, int number) {
+    for (ImmutableList<ImmutableList<Task>> steps : job.occurrences()) {
+      for (Task task : steps.get(number)) {
+        if (task.phase != TaskPhase.DONE) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
@@ -0,0 +1,381 @@
+package org.sassafraslink.scheduler;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.MachinePort;
+import org.sassafraslink.api.fleet.MachinePort.Authority;
+import org.sassafraslink.api.fleet.MachinePort.Machine;
+import org.sassafraslink.api.fleet.MachinePort.MachineReply;
+import org.sassafraslink.api.fleet.MachinePort.MachineState;
+import org.sassafraslink.api.fleet.Wave;
+import org.sassafraslink.api.log.EventLog;
+
+/**
+ * Carries out waves of maintenance.
+ *
+ * <p>VMs are emptied before they are taken down: they get no new tasks, short ones end, and lasting
+ * ones are moved one after the other as far as their steps may miss any. When the wave falls behind
+ * its time, short tasks are stopped too.
+ */
+final class Maintenance {
+  /** Pause between two readings of the list of VMs while a wave is under way, in ms. */
+  private static final long LIST_MILLIS = 700;
+
+  /** A list older than this, in ms, is not decided on. */
+  private static final long LIST_MAX_AGE_MILLIS = 2_500;
+
+  /** Pause after a refused order, in ms. */
+  private static final long RETRY_MILLIS = 400;
+
+  /** Shortest time that short tasks on a VM get to end, in ms. */
+  private static final long MIN_DRAIN_MILLIS = 700;
+
+  /** The part of a wave's time that is planned for; the rest is for failures. */
+  private static final double PLANNED_PART = 0.7;
+
+  /** How to stop tasks and to end workers. */
+  interface Actions {
+    void stop(Task task, String reason);
+
+    void ended(Worker worker);
+
+    void onFenced();
+
+    /** Stores what the operator is told of a wave; repeated until it is done. */
+    void tell(long wave, boolean completed);
+  }
+
+  /** One wave under way. */
+  private static final class Progress {
+    private final Wave wave;
+    private final long seenMillis;
+    private final Set<String> begun = new HashSet<>();
+
+    /** VMs that are down for this wave, with the time of the order. */
+    private final Map<String, Long> down = new HashMap<>();
+
+    private boolean toldRunning;
+    private boolean toldCompleted;
+
+    Progress(Wave wave, long seenMillis) {
+      this.wave = wave;
+      this.seenMillis = seenMillis;
+    }
+
+    List<String> remaining() {
+      List<String> result = new ArrayList<>(wave.machines());
+      result.removeAll(begun);
+      return result;
+    }
+  }
+
+  private final MachinePort port;
+  private final FleetClock clock;
+  private final EventLog log;
+  private final SchedulerLease lease;
+  private final SchedulerSettings settings;
+  private final WorkerRegistry workers;
+  private final Actions actions;
+
+  private final Map<Long, Progress> waves = new LinkedHashMap<>();
+  private final Map<String, Long> retryAt = new HashMap<>();
+  private ImmutableList<Machine> machines = ImmutableList.of();
+  private long listedMillis = Long.MIN_VALUE;
+  private long nextListMillis;
+  private boolean listPending;
+  private boolean orderPending;
+  private long ordersFromMillis;
+  private long term;
+
+  Maintenance(
+      MachinePort port,
+      FleetClock clock,
+      EventLog log,
+      SchedulerLease lease,
+      SchedulerSettings settings,
+      WorkerRegistry workers,
+      Actions actions) {
+    this.port = port;
+    this.clock = clock;
+    this.log = log;
+    this.lease = lease;
+    this.settings = settings;
+    this.workers = workers;
+    this.actions = actions;
+  }
+
+  /**
+   * Begins anew.
+   *
+   * @param ordersFromMillis when the last order of an earlier scheduler is long enough ago
+   */
+  void reset(long ordersFromMillis) {
+    term++;
+    this.ordersFromMillis = ordersFromMillis;
+    listPending = false;
+    orderPending = false;
+    listedMillis = Long.MIN_VALUE;
+    nextListMillis = 0;
+    retryAt.clear();
+    waves.clear();
+  }
+
+  void onWaves(Iterable<Wave> known, long nowMillis) {
+    for (Wave wave : known) {
+      waves.computeIfAbsent(
+          wave.number(),
+          number -> {
+            log.log(
+                "wave.seen",
+                "wave",
+                number,
+                "machines",
+                wave.machines().size(),
+                "maxDown",
+                wave.maxDown(),
+                "seconds",
+                wave.durationSeconds());
+            return new Progress(wave, nowMillis);
+          });
+    }
+  }
+
+  void tick(long nowMillis) {
+    boolean isActive = waves.values().stream().anyMatch(progress -> !progress.toldCompleted);
+    if (!isActive || !lease.isValid()) {
+      return;
+    }
+    if (!listPending && nowMillis >= nextListMillis) {
+      list(nowMillis);
+    }
+    boolean isListFresh = nowMillis - listedMillis < LIST_MAX_AGE_MILLIS && listedMillis >= 0;
+    if (isListFresh) {
+      waves.values().stream()
+          .filter(progress -> !progress.toldCompleted)
+          .forEach(progress -> advance(progress, nowMillis));
+    }
+  }
+
+  private void list(long nowMillis) {
+    listPending = true;
+    long sentTerm = term;
+    port.list(
+        answer -> {
+          if (term != sentTerm) {
+            return;
+          }
+          listPending = false;
+          nextListMillis = clock.monotonicMillis() + LIST_MILLIS;
+          if (answer.isRight()) {
+            machines = answer.get();
+            listedMillis = nowMillis;
+          } else {
+            log.log("machines.list_failed", "failure", answer.getLeft());
+          }
+        });
+  }
+
+  private void advance(Progress progress, long nowMillis) {
+    if (!progress.toldRunning) {
+      progress.toldRunning = true;
+      actions.tell(progress.wave.number(), false);
+    }
+    progress.down.keySet().removeIf(machine -> isBack(progress, machine));
+    List<String> remaining = progress.remaining();
+    remaining.removeIf(
+        machine -> {
+          boolean isAbsent = find(machine).isEmpty();
+          if (isAbsent) {
+            progress.begun.add(machine);
+            log.log("wave.machine_left", "wave", progress.wave.number(), "machine", machine);
+          }
+          return isAbsent;
+        });
+    if (remaining.isEmpty()) {
+      progress.toldCompleted = true;
+      log.log(
+          "wave.completed",
+          "wave",
+          progress.wave.number(),
+          "after",
+          nowMillis - progress.seenMillis);
+      actions.tell(progress.wave.number(), true);
+      return;
+    }
+    prepare(progress, remaining, nowMillis);
+  }
+
+  /** A VM is back when a list that was asked for after the order shows it up. */
+  private boolean isBack(Progress progress, String machine) {
+    long ordered = progress.down.get(machine);
+    boolean isListNewer = listedMillis > ordered + settings.maintenanceMillis() / 2;
+    return isListNewer && find(machine).map(found -> found.state() == MachineState.UP).orElse(true);
+  }
+
+  private int downCount(Progress progress) {
+    Set<String> down = new HashSet<>(progress.down.keySet());
+    for (Machine machine : machines) {
+      boolean isDown =
+          machine.state() == MachineState.IN_MAINTENANCE
+              && progress.wave.machines().contains(machine.id());
+      if (isDown) {
+        down.add(machine.id());
+      }
+    }
+    return down.size();
+  }
+
+  private void prepare(Progress progress, List<String> remaining, long nowMillis) {
+    remaining.sort(Comparator.comparingDouble(this::drainCost));
+    int maxDown = progress.wave.maxDown();
+    int down = downCount(progress);
+    // While some are down, as many others are emptied, so that no time is lost between them.
+    int preparing = Math.min(remaining.size(), maxDown);
+    long drainMillis = drainMillis(progress, remaining.size(), nowMillis);
+    for (String machine : remaining.subList(0, preparing)) {
+      Optional<Worker> worker = workers.onMachine(machine);
+      worker.ifPresent(found -> cordon(found, progress, nowMillis));
+      boolean isEmpty = worker.map(Worker::isEmpty).orElse(true);
+      boolean isUp = find(machine).map(found -> found.state() == MachineState.UP).orElse(false);
+      if (isEmpty && isUp && down < maxDown) {
+        if (maintain(progress, machine, worker, nowMillis)) {
+          down++;
+        }
+      } else if (!isEmpty) {
+        empty(worker.get(), nowMillis, drainMillis);
+      }
+    }
+  }
+
+  /** How long short tasks may run on before they are stopped, for the wave to be done in time. */
+  private long drainMillis(Progress progress, int remaining, long nowMillis) {
+    double planned = progress.wave.durationSeconds() * 1_000 * PLANNED_PART;
+    double left = planned - (nowMillis - progress.seenMillis);
+    double rounds = Math.ceil((double) remaining / progress.wave.maxDown());
+    double perRound = left / rounds;
+    return (long) Math.max(MIN_DRAIN_MILLIS, perRound - settings.maintenanceMillis());
+  }
+
+  private void cordon(Worker worker, Progress progress, long nowMillis) {
+    if (worker.cordon.isEmpty()) {
+      worker.cordon = "wave " + progress.wave.number();
+      worker.cordonedMillis = nowMillis;
+      log.log(
+          "worker.cordoned",
+          "worker",
+          worker.entry.id(),
+          "machine",
+          worker.entry.machine(),
+          "wave",
+          progress.wave.number(),
+          "tasks",
+          worker.tasks().size());
+    }
+  }
+
+  private void empty(Worker worker, long nowMillis, long drainMillis) {
+    boolean isOverdue = nowMillis - worker.cordonedMillis > drainMillis;
+    for (Task task : worker.tasks()) {
+      if (task.phase != TaskPhase.RUNNING) {
+        continue;
+      }
+      if (task.step.lasting()) {
+        if (!task.isAtWork() || Availability.allowsStop(task)) {
+          actions.stop(task, "wave");
+        }
+      } else if (isOverdue) {
+        actions.stop(task, "wave_overdue");
+      }
+    }
+  }
+
+  /** VMs without workers go first, then empty ones, then those with the least to move. */
+  private double drainCost(String machine) {
+    Optional<Worker> worker = workers.onMachine(machine);
+    if (worker.isEmpty()) {
+      return -2;
+    }
+    if (!worker.get().cordon.isEmpty()) {
+      // What has been begun is finished first.
+      return -1;
+    }
+    double cost = 0;
+    for (Task task : worker.get().tasks()) {
+      cost += task.step.lasting() ? 10 : 1;
+    }
+    return cost;
+  }
+
+  private boolean maintain(
+      Progress progress, String machine, Optional<Worker> worker, long nowMillis) {
+    boolean isDue = nowMillis >= retryAt.getOrDefault(machine, Long.MIN_VALUE);
+    if (orderPending || !isDue || nowMillis < ordersFromMillis || !lease.isValid()) {
+      return false;
+    }
+    orderPending = true;
+    progress.down.put(machine, nowMillis);
+    long sentTerm = term;
+    port.maintain(
+        machine,
+        progress.wave.number(),
+        new Authority(settings.node(), lease.epoch()),
+        answer -> {
+          if (term == sentTerm) {
+            orderPending = false;
+            onAnswer(progress, machine, worker, answer);
+          }
+        });
+    return true;
+  }
+
+  private void onAnswer(
+      Progress progress,
+      String machine,
+      Optional<Worker> worker,
+      Either<CallFailure, MachineReply> answer) {
+    log.log(
+        "wave.order_answered",
+        "wave",
+        progress.wave.number(),
+        "machine",
+        machine,
+        "answer",
+        answer,
+        "listAge",
+        clock.monotonicMillis() - listedMillis);
+    boolean isUnknown = answer.isLeft() && answer.getLeft() == CallFailure.OUTCOME_UNKNOWN;
+    boolean isAccepted = answer.isRight() && answer.get() == MachineReply.ACCEPTED;
+    if (isAccepted) {
+      progress.begun.add(machine);
+      worker.ifPresent(actions::ended);
+      return;
+    }
+    retryAt.put(machine, clock.monotonicMillis() + RETRY_MILLIS);
+    if (isUnknown) {
+      // It may be down already: it counts as down until the list shows otherwise.
+      return;
+    }
+    progress.down.remove(machine);
+    if (answer.isRight() && answer.get() == MachineReply.FENCED) {
+      actions.onFenced();
+    } else if (answer.isRight() && answer.get() == MachineReply.NOT_IN_WAVE) {
+      progress.begun.add(machine);
+      worker.ifPresent(found -> found.cordon = "");
+    }
+  }
+
+  private Optional<Machine> find(String machine) {
+    return machines.stream().filter(found -> found.id().equals(machine)).findFirst();
+  }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PendingCounts.java
@@ -0,0 +1,94 @@
+package org.sassafraslink.scheduler;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.RowStore.Change;
+import org.sassafraslink.api.fleet.RowStore.Put;
+import org.sassafraslink.api.fleet.RowStore.RowKey;
+
+/** Tells all entry VMs how many jobs of each queue have not begun, by one row. */
+public final class PendingCounts {
+  /** Pause between two writings, in ms; the counts may be 2 s old. */
+  private static final long INTERVAL_MILLIS = 1_000;
+
+  private static final RowKey KEY = new RowKey("counts", JobRows.PART, "pending");
+
+  private final RowStore store;
+  private final SchedulerLease lease;
+  private String written = "";
+  private long nextMillis;
+  private boolean pending;
+  private long term;
+
+  PendingCounts(RowStore store, SchedulerLease lease) {
+    this.store = store;
+    this.lease = lease;
+  }
+
+  /** The row that holds the counts. */
+  public static RowKey key() {
+    return KEY;
+  }
+
+  /** The count of a queue in that row; 0 if it has none. */
+  public static long count(String row, String queue) {
+    try {
+      return new ObjectMapper().readTree(row).path(queue).asLong();
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("the row of pending counts is damaged", e);
+    }
+  }
+
+  void reset() {
+    term++;
+    written = "";
+    pending = false;
+  }
+
+  void tick(Collection<Job> jobs, long nowMillis) {
+    if (pending || nowMillis < nextMillis || !lease.isValid()) {
+      return;
+    }
+    nextMillis = nowMillis + INTERVAL_MILLIS;
+    String row = encode(jobs);
+    if (row.equals(written)) {
+      return;
+    }
+    pending = true;
+    long sentTerm = term;
+    Change change =
+        new Change(
+            ImmutableList.of(lease.guard()),
+            ImmutableList.of(new Put(KEY, row)),
+            ImmutableList.of());
+    store.change(
+        change,
+        outcome -> {
+          if (term == sentTerm) {
+            pending = false;
+            if (outcome instanceof RowStore.Outcome.Committed) {
+              written = row;
+            }
+          }
+        });
+  }
+
+  private static String encode(Collection<Job> jobs) {
+    Map<String, Long> counts = new TreeMap<>();
+    for (Job job : jobs) {
+      if (!job.hasBegun() && !job.cancelRequested) {
+        counts.merge(job.spec.queue(), 1L, Long::sum);
+      }
+    }
+    ObjectNode row = JsonNodeFactory.instance.objectNode();
+    counts.forEach(row::put);
+    return row.toString();
+  }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -0,0 +1,202 @@
+package org.sassafraslink.scheduler;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.sassafraslink.api.fleet.QueueConfig;
+import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.api.log.EventLog;
+
+/** Gives waiting tasks workers, in the order of their jobs, within capacities and teams' limits. */
+final class Placement {
+  private final QueueBook queues;
+  private final WorkerRegistry workers;
+  private final JobOrder order;
+  private final Quarantine quarantine;
+  private final AdviceDesk advice;
+  private final EventLog log;
+
+  Placement(
+      QueueBook queues,
+      WorkerRegistry workers,
+      JobOrder order,
+      Quarantine quarantine,
+      AdviceDesk advice,
+      EventLog log) {
+    this.queues = queues;
+    this.workers = workers;
+    this.order = order;
+    this.quarantine = quarantine;
+    this.advice = advice;
+    this.log = log;
+  }
+
+  /** A job with its terms and rank, as of one round. */
+  private record Candidate(Job job, QueueConfig queue, JobOrder.Rank rank, List<Task> tasks) {}
+
+  /** Assigns what can be assigned; returns the jobs that have changed. */
+  Set<Job> run(Collection<Job> jobs, long nowMillis, long wallMillis) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (Job job : jobs) {
+      if (job.state.isFinal() || job.cancelRequested) {
+        continue;
+      }
+      List<Task> tasks = job.startable(wallMillis);
+      if (!tasks.isEmpty()) {
+        QueueConfig queue = queues.queueOf(job.spec);
+        candidates.add(new Candidate(job, queue, order.rank(job, queue, wallMillis), tasks));
+      }
+    }
+    candidates.sort(Comparator.comparing(Candidate::rank));
+    Map<String, List<Worker>> usable = new HashMap<>();
+    Set<Job> changed = new HashSet<>();
+    for (Candidate candidate : candidates) {
+      List<Worker> pool =
+          usable.computeIfAbsent(
+              candidate.queue().service(), service -> usableIn(service, nowMillis));
+      if (!pool.isEmpty() && place(candidate, pool, nowMillis)) {
+        changed.add(candidate.job());
+      }
+    }
+    return changed;
+  }
+
+  private List<Worker> usableIn(String service, long nowMillis) {
+    List<Worker> result = new ArrayList<>();
+    for (Worker worker : workers.listedIn(service)) {
+      if (WorkerChoice.isUsable(worker, nowMillis) && !quarantine.isHeld(worker, nowMillis)) {
+        result.add(worker);
+      }
+    }
+    return result;
+  }
+
+  private boolean place(Candidate candidate, List<Worker> pool, long nowMillis) {
+    boolean changed = false;
+    Map<Long, List<Task>> bySteps = new LinkedHashMap<>();
+    for (Task task : candidate.tasks()) {
+      long step = ((long) task.id.occurrence() << Integer.SIZE) + task.id.step();
+      bySteps.computeIfAbsent(step, number -> new ArrayList<>()).add(task);
+    }
+    for (List<Task> tasks : bySteps.values()) {
+      changed |=
+          tasks.get(0).step.gang()
+              ? placeGang(candidate, tasks, pool, nowMillis)
+              : placeEach(candidate, tasks, pool, nowMillis);
+    }
+    return changed;
+  }
+
+  private boolean placeEach(
+      Candidate candidate, List<Task> tasks, List<Worker> pool, long nowMillis) {
+    Optional<ImmutableMap<String, String>> tickets =
+        advice.ticketsFor(tasks.get(0), candidate.queue(), pool, nowMillis);
+    if (tickets.isEmpty()) {
+      return false;
+    }
+    List<Worker> allowed = approved(pool, tickets.get(), candidate.queue());
+    Resources cap = queues.capOf(candidate.job().spec.team());
+    boolean changed = false;
+    for (Task task : tasks) {
+      if (!candidate.job().team.admits(task.teamUse(), cap)) {
+        break;
+      }
+      Optional<Worker> worker = WorkerChoice.choose(task, allowed);
+      if (worker.isEmpty()) {
+        break;
+      }
+      assign(task, worker.get(), task.attempt + 1, tickets.get());
+      changed = true;
+    }
+    return changed;
+  }
+
+  /** All tasks of a gang start together, with one attempt number, or none does. */
+  private boolean placeGang(
+      Candidate candidate, List<Task> tasks, List<Worker> pool, long nowMillis) {
+    boolean isWhole = tasks.size() == tasks.get(0).step.count();
+    Optional<ImmutableMap<String, String>> tickets =
+        isWhole
+            ? advice.ticketsFor(tasks.get(0), candidate.queue(), pool, nowMillis)
+            : Optional.empty();
+    if (tickets.isEmpty()) {
+      return false;
+    }
+    List<Worker> allowed = approved(pool, tickets.get(), candidate.queue());
+    if (tasks.get(0).step.rackLocal()) {
+      Set<String> racks = new HashSet<>();
+      allowed.forEach(worker -> racks.add(worker.entry.rack()));
+      for (String rack : racks) {
+        List<Worker> inRack =
+            allowed.stream().filter(worker -> worker.entry.rack().equals(rack)).toList();
+        if (tryGang(candidate.job(), tasks, inRack, tickets.get())) {
+          return true;
+        }
+      }
+    }
+    return tryGang(candidate.job(), tasks, allowed, tickets.get());
+  }
+
+  private boolean tryGang(
+      Job job, List<Task> tasks, List<Worker> allowed, ImmutableMap<String, String> tickets) {
+    Resources cap = queues.capOf(job.spec.team());
+    int attempt = tasks.stream().mapToInt(task -> task.attempt).max().orElse(0) + 1;
+    List<Task> assigned = new ArrayList<>();
+    for (Task task : tasks) {
+      Optional<Worker> worker =
+          job.team.admits(task.teamUse(), cap)
+              ? WorkerChoice.choose(task, allowed)
+              : Optional.empty();
+      if (worker.isEmpty()) {
+        // Taken back before anything is committed: the attempt number is free again.
+        assigned.forEach(
+            member -> {
+              member.release(TaskPhase.WAITING, member.endedMillis);
+              member.attempt = attempt - 1;
+            });
+        return false;
+      }
+      task.assign(worker.get(), attempt, tickets.getOrDefault(worker.get().entry.id(), ""));
+      assigned.add(task);
+    }
+    assigned.forEach(this::logAssignment);
+    return true;
+  }
+
+  private static List<Worker> approved(
+      List<Worker> pool, ImmutableMap<String, String> tickets, QueueConfig queue) {
+    return queue.advice().isEmpty()
+        ? pool
+        : pool.stream().filter(worker -> tickets.containsKey(worker.entry.id())).toList();
+  }
+
+  private void assign(Task task, Worker worker, int attempt, ImmutableMap<String, String> tickets) {
+    task.assign(worker, attempt, tickets.getOrDefault(worker.entry.id(), ""));
+    logAssignment(task);
+  }
+
+  private void logAssignment(Task task) {
+    log.log(
+        "task.assigned",
+        "job",
+        task.id.job(),
+        "occurrence",
+        task.id.occurrence(),
+        "step",
+        task.id.step(),
+        "index",
+        task.id.index(),
+        "attempt",
+        task.attempt,
+        "worker",
+        task.worker.entry.id());
+  }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
@@ -0,0 +1,108 @@
+package org.sassafraslink.scheduler;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import org.sassafraslink.api.fleet.JobState;
+
+/**
+ * The row that holds how far a job has come.
+ *
+ * <p>A task that has never started is 0, one that is done is 1, and another one is an array of
+ * attempt, failures, worker, the worker's incarnation, and checkpoint.
+ */
+final class ProgressRow {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String STATE = "state";
+  private static final String TASKS = "tasks";
+
+  /** An attempt that the row says was started or was about to be. */
+  record Placed(Task task, String worker, long incarnation) {}
+
+  private ProgressRow() {}
+
+  static String encode(Job job) {
+    ObjectNode row = JsonNodeFactory.instance.objectNode();
+    row.put(STATE, job.state.name());
+    ArrayNode occurrences = row.putArray(TASKS);
+    for (ImmutableList<ImmutableList<Task>> steps : job.occurrences()) {
+      ArrayNode stepNodes = occurrences.addArray();
+      for (ImmutableList<Task> tasks : steps) {
+        ArrayNode taskNodes = stepNodes.addArray();
+        tasks.forEach(task -> encode(task, taskNodes));
+      }
+    }
+    return row.toString();
+  }
+
+  private static void encode(Task task, ArrayNode nodes) {
+    if (task.phase == TaskPhase.DONE) {
+      nodes.add(1);
+    } else if (task.attempt == 0) {
+      nodes.add(0);
+    } else {
+      ArrayNode node = nodes.addArray().add(task.attempt).add(task.failures);
+      if (task.worker == null) {
+        node.add("").add(0);
+      } else {
+        node.add(task.worker.entry.id()).add(task.worker.entry.incarnation());
+      }
+      node.add(task.checkpoint);
+    }
+  }
+
+  /** The row that holds only a final state. */
+  static String encodeFinal(JobState state) {
+    return JsonNodeFactory.instance.objectNode().put(STATE, state.name()).toString();
+  }
+
+  /** The state in a progress or final row; empty if it cannot be read. */
+  static Optional<JobState> state(String row) {
+    try {
+      return Optional.of(JobState.valueOf(MAPPER.readTree(row).path(STATE).asText()));
+    } catch (JsonProcessingException | IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Brings a new job to what the row says; returns the attempts that may be on workers. */
+  static ImmutableList<Placed> decodeInto(String row, Job job) {
+    JsonNode root;
+    try {
+      root = MAPPER.readTree(row);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(
+          "the progress row of job " + job.spec.id() + " is damaged", e);
+    }
+    job.state = JobState.valueOf(root.path(STATE).asText());
+    ImmutableList.Builder<Placed> placed = ImmutableList.builder();
+    for (int k = 0; k < job.occurrences().size(); k++) {
+      for (int s = 0; s < job.occurrences().get(k).size(); s++) {
+        for (Task task : job.occurrences().get(k).get(s)) {
+          JsonNode node = root.path(TASKS).path(k).path(s).path(task.id.index());
+          decode(node, task).ifPresent(placed::add);
+        }
+      }
+    }
+    return placed.build();
+  }
+
+  private static Optional<Placed> decode(JsonNode node, Task task) {
+    if (node.isInt()) {
+      task.phase = node.asInt() == 1 ? TaskPhase.DONE : TaskPhase.WAITING;
+      return Optional.empty();
+    }
+    task.attempt = node.path(0).asInt();
+    task.failures = node.path(1).asInt();
+    task.checkpoint = node.path(4).asText();
+    String worker = node.path(2).asText();
+    return worker.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new Placed(task, worker, node.path(3).asLong()));
+  }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WaveStatus.java
@@ -0,0 +1,73 @@
+package org.sassafraslink.scheduler;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.RowStore.Change;
+import org.sassafraslink.api.fleet.RowStore.Outcome;
+
+/**
+ * Tells the operator how far waves have come.
+ *
+ * <p>The operator's table of states lies in another part than the lease, so these writes cannot
+ * check it. They may be repeated: a wave is told completed only after each of its VMs was taken
+ * down, whoever did it.
+ */
+final class WaveStatus {
+  /** Pause after a failed write, in ms. */
+  private static final long RETRY_MILLIS = 300;
+
+  private final RowStore store;
+  private final FleetClock clock;
+  private final SchedulerLease lease;
+  private final RowFormats formats;
+  private final Map<Long, Boolean> untold = new LinkedHashMap<>();
+  private boolean pending;
+  private long nextMillis;
+  private long term;
+
+  WaveStatus(RowStore store, FleetClock clock, SchedulerLease lease, RowFormats formats) {
+    this.store = store;
+    this.clock = clock;
+    this.lease = lease;
+    this.formats = formats;
+  }
+
+  void reset() {
+    term++;
+    untold.clear();
+    pending = false;
+  }
+
+  void tell(long wave, boolean completed) {
+    untold.put(wave, completed);
+  }
+
+  void tick(long nowMillis) {
+    if (pending || untold.isEmpty() || nowMillis < nextMillis || !lease.isValid()) {
+      return;
+    }
+    long wave = untold.keySet().iterator().next();
+    boolean completed = untold.get(wave);
+    pending = true;
+    long sentTerm = term;
+    Change change =
+        new Change(
+            ImmutableList.of(),
+            ImmutableList.of(formats.waveStatus(wave, completed)),
+            ImmutableList.of());
+    store.change(
+        change,
+        outcome -> {
+          if (term == sentTerm) {
+            pending = false;
+            nextMillis = clock.monotonicMillis() + RETRY_MILLIS;
+            if (outcome instanceof Outcome.Committed) {
+              untold.remove(wave, completed);
+            }
+          }
+        });
+  }
+}
