Take lists of workers as the word on attempts that ended between two sendings

A fault matrix over a job's life (21 kinds of fault at 40 moments, 441 overlapping pairs at three) found three faults, each red before: - a start sent again was answered 'outdated' because the attempt had already run and ended; it was taken as never started, and started twice. It now waits for the worker's list. - a worker that started again under its id may have taken an order meant for its earlier incarnation; tasks were released and started elsewhere. Its lists decide now. - an order under way to the earlier incarnation was never counted as over, and its task hung. Ruled out: late orders after a cancellation, which the platform's rules exempt; the check passes over starts that a worker carried out late.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Orders.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Orders.java
@@ -183,7 +183,8 @@
       case TOO_LATE -> retry(task);
       case NO_ROOM -> refuse(task, "no_room", NO_ROOM_MILLIS);
       case NO_TICKET -> refuse(task, "no_ticket", 0);
-      case OUTDATED, ABSENT -> refuse(task, "outdated", 0);
+      case OUTDATED -> awaitEnd(task);
+      case ABSENT -> refuse(task, "refused", 0);
     }
   }
 
@@ -206,6 +207,16 @@
     }
   }
 
+  /**
+   * The attempt has ended already, between an earlier sending and this one. How it ended comes with
+   * the worker's lists.
+   */
+  private void awaitEnd(Task task) {
+    open.remove(task);
+    task.phase = TaskPhase.STOPPING;
+    task.stopAcceptedMillis = clock.monotonicMillis();
+  }
+
   private void retry(Task task) {
     task.unanswered++;
     task.nextOrderMillis = clock.monotonicMillis() + RETRY_MILLIS;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -271,11 +271,8 @@
   private void resume(Job job, StoredRow progress) {
     job.progressVersion = progress.version();
     for (ProgressRow.Placed placed : ProgressRow.decodeInto(progress.value(), job)) {
-      Worker worker = workers.incarnation(placed.worker(), placed.incarnation());
+      Worker worker = workers.named(placed.worker(), placed.incarnation());
       Task task = placed.task();
-      if (worker.gone) {
-        continue;
-      }
       task.assign(worker, task.attempt, "");
       task.phase = TaskPhase.ORDERED;
       task.recovered = true;
@@ -508,6 +505,11 @@
       worker.updateCommittedEnds();
     }
 
+    @Override
+    public void onRestart(Worker worker, long incarnation) {
+      workers.onRestart(worker, incarnation);
+    }
+
     @Override
     public void onWrongIncarnation(Worker worker) {
       wrongIncarnation(worker);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -103,6 +103,13 @@
     job.team.use(teamUse());
   }
 
+  /** The worker has started again under its id: answers of its earlier incarnation do not count. */
+  void moveTo(Worker restarted) {
+    worker = restarted;
+    orderPending = false;
+    restarted.add(this);
+  }
+
   /** Ends the current attempt and frees what it took. */
   void release(TaskPhase next, long nowMillis) {
     if (worker != null) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerHolds.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerHolds.java
@@ -43,7 +43,10 @@
      */
     void onReport(Worker worker, RunReport report, long sentMillis);
 
-    /** Another incarnation has the address. */
+    /** The worker has started again under its id. */
+    void onRestart(Worker worker, long incarnation);
+
+    /** Another worker has the address. */
     void onWrongIncarnation(Worker worker);
 
     /** A higher fencing token was seen. */
@@ -133,7 +136,7 @@
     }
     RunReport report = answer.get();
     if (report.incarnation() != worker.entry.incarnation()) {
-      listener.onWrongIncarnation(worker);
+      listener.onRestart(worker, report.incarnation());
       return;
     }
     if (worker.silences > 0) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -114,12 +114,13 @@
   }
 
   /**
-   * The incarnation that a row of a job names. One that is not listed is kept as a worker that
-   * cannot be reached; its tasks are free when its lease has expired.
+   * The worker that a row of a job names. A later incarnation with the same id may have taken the
+   * order, so its lists decide. One that is not listed is kept as a worker that cannot be reached;
+   * its tasks are free when its lease has expired.
    */
-  Worker incarnation(String id, long incarnation) {
+  Worker named(String id, long incarnation) {
     Worker listed = byId.get(id);
-    if (listed != null && listed.entry.incarnation() == incarnation) {
+    if (listed != null) {
       return listed;
     }
     for (Worker worker : unlisted) {
@@ -133,7 +134,6 @@
             id, incarnation, "", NOWHERE, "", "", "", ImmutableList.of(), Resources.NONE, false);
     Worker worker = new Worker(entry, earlierLeaseEndsMillis);
     worker.listed = false;
-    worker.gone = listed != null && listed.entry.incarnation() > incarnation;
     unlisted.add(worker);
     return worker;
   }
@@ -258,9 +258,9 @@
   private void onNew(WorkerEntry entry, Worker sameId) {
     for (Worker other : all()) {
       boolean isReplaced =
-          other == sameId
-              || (!entry.machine().isEmpty() && other.entry.machine().equals(entry.machine()))
-              || other.entry.address().equals(entry.address());
+          other != sameId
+              && ((!entry.machine().isEmpty() && other.entry.machine().equals(entry.machine()))
+                  || other.entry.address().equals(entry.address()));
       if (isReplaced && other.entry.incarnation() < entry.incarnation()) {
         log.log(
             "worker.replaced",
@@ -277,6 +277,9 @@
     }
     Worker worker = adopt(entry).orElseGet(() -> new Worker(entry, earlierLeaseEndsMillis));
     byId.put(entry.id(), worker);
+    if (sameId != null) {
+      inherit(sameId, worker);
+    }
     log.log(
         "worker.listed",
         "worker",
@@ -293,6 +296,50 @@
         entry.draining());
   }
 
+  /**
+   * A worker has started again under its id. Orders of the last moments may have reached the new
+   * incarnation, so its lists decide about all tasks of the old one.
+   */
+  private void inherit(Worker old, Worker worker) {
+    log.log(
+        "worker.restarted",
+        "worker",
+        worker.entry.id(),
+        "incarnation",
+        old.entry.incarnation(),
+        "newIncarnation",
+        worker.entry.incarnation(),
+        "tasks",
+        old.tasks().size());
+    for (Task task : old.tasks()) {
+      old.remove(task);
+      task.moveTo(worker);
+    }
+    old.gone = true;
+    old.listed = false;
+  }
+
+  /** A worker's answer shows that it has started again under its id. */
+  void onRestart(Worker worker, long incarnation) {
+    if (byId.get(worker.entry.id()) != worker || incarnation <= worker.entry.incarnation()) {
+      return;
+    }
+    WorkerEntry was = worker.entry;
+    onNew(
+        new WorkerEntry(
+            was.id(),
+            incarnation,
+            was.service(),
+            was.address(),
+            was.zone(),
+            was.machine(),
+            was.rack(),
+            was.labels(),
+            was.capacity(),
+            was.draining()),
+        worker);
+  }
+
   /** A worker that a job's row named before the list did. */
   private Optional<Worker> adopt(WorkerEntry entry) {
     for (Worker worker : unlisted) {
