Size pools to what waits, notice a dead scheduler at once, count silent workers as away

Pools: in a turn a queue asks more than its pool holds, and idle VMs are paid for. Scheduler's death: others waited 2.3 s for the lease; a connection to the holder that is refused after it broke shows that its process is gone.

--- a/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
@@ -9,6 +9,7 @@
  * @param node the name of its VM
  * @param callers where callers are served
  * @param readiness where the balancer asks whether new connections may come
+ * @param peers where other entry VMs reach this one
  * @param store the platform's rows
  * @param machines the platform's VMs
  * @param advice the placement advice service
@@ -28,6 +29,7 @@
     String zone,
     InetSocketAddress callers,
     InetSocketAddress readiness,
+    InetSocketAddress peers,
     InetSocketAddress store,
     InetSocketAddress machines,
     Optional<InetSocketAddress> advice,
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -69,7 +69,8 @@
             clock,
             log,
             new PlatformFormats(),
-            SchedulerSettings.of(settings, process));
+            SchedulerSettings.of(settings, process),
+            new PeerWatch(loop, schedulerThread));
     config =
         ConfigWatch.create(
             store,
@@ -88,6 +89,7 @@
     EntryNode node = new EntryNode(settings, log, process);
     node.group.next().execute(node.config::start);
     node.schedulerThread.start(node.scheduler);
+    PeerWatch.listen(node.group, settings.peers());
     node.callers.listen(node.group, settings.callers());
     StatusServer.create(node::isReady).listen(node.group, settings.readiness());
     log.log("process.started", "process", process, "uptime", upMillis());
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Availability.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Availability.java
@@ -3,18 +3,19 @@
 /**
  * Decides whether planned work may take a lasting task from its worker.
  *
- * <p>A task counts as away from the moment it is not at work, which is stricter than the bound that
- * submitters state; a step that states none may miss one task at a time.
+ * <p>A task counts as away from the moment it is not at work or its worker is silent, which is
+ * stricter than the bound that submitters state; a step that states none may miss one task at a
+ * time.
  */
 final class Availability {
   private Availability() {}
 
   /** Whether {@code task}, which is at work, may be stopped now. */
-  static boolean allowsStop(Task task) {
+  static boolean allowsStop(Task task, long nowMillis) {
     int allowed = Math.max(1, task.step.maxUnavailable());
     int away = 0;
     for (Task other : task.job.occurrences().get(task.id.occurrence()).get(task.id.step())) {
-      if (other != task && !other.isAtWork()) {
+      if (other != task && !other.isAtWork(nowMillis)) {
         away++;
       }
     }
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/HolderWatch.java
@@ -0,0 +1,17 @@
+package org.sassafraslink.scheduler;
+
+/**
+ * Notices at once when the process that holds the scheduling lease is gone.
+ *
+ * <p>It only shortens the wait for a lease that nobody renews: what keeps two schedulers apart are
+ * the version of the holder row and the fencing token.
+ */
+@FunctionalInterface
+public interface HolderWatch {
+  /**
+   * Watches the process at {@code address} in place of any other.
+   *
+   * @param onGone runs on the scheduler's thread when nothing listens at the address any more
+   */
+  void watch(String address, Runnable onGone);
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
@@ -15,8 +15,18 @@
   /** A job counts as late up to this multiple of its objective, and as lost beyond. */
   private static final double LATE_FACTOR = 3;
 
+  private static final int LASTING = 0;
+  private static final int IN_TIME = 1;
+  private static final int LATE = 2;
+  private static final int LOST = 3;
+
   /** How a job ranks; lower goes first. */
   record Rank(int group, double key) implements Comparable<Rank> {
+    /** Whether the job is worth more workers: it lasts, or can still meet its objective. */
+    boolean isWorthRoom() {
+      return group <= IN_TIME;
+    }
+
     @Override
     public int compareTo(Rank other) {
       return group != other.group
@@ -34,7 +44,7 @@
   Rank rank(Job job, QueueConfig queue, long wallMillis) {
     boolean lasts = job.spec.steps().stream().anyMatch(StepSpec::lasting);
     if (lasts) {
-      return new Rank(0, job.spec.acceptedMillis());
+      return new Rank(LASTING, job.spec.acceptedMillis());
     }
     double whole = chainMillis(job, queue.name(), false);
     double remaining = chainMillis(job, queue.name(), true);
@@ -42,12 +52,12 @@
     double since = job.spec.scheduled() ? job.spec.firstDueMillis() : job.spec.acceptedMillis();
     double finish = wallMillis + remaining;
     if (finish <= since + objective) {
-      return new Rank(1, since + objective - remaining);
+      return new Rank(IN_TIME, since + objective - remaining);
     }
     if (finish <= since + LATE_FACTOR * objective) {
-      return new Rank(2, since + LATE_FACTOR * objective - remaining);
+      return new Rank(LATE, since + LATE_FACTOR * objective - remaining);
     }
-    return new Rank(3, since);
+    return new Rank(LOST, since);
   }
 
   /** The expected time of the longest chain of steps in ms, in all or of what is not done yet. */
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
@@ -1,6 +1,5 @@
 package org.sassafraslink.scheduler;
 
-import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -29,12 +28,6 @@
  * its time, short tasks are stopped too.
  */
 final class Maintenance {
-  /** Pause between two readings of the list of VMs while a wave is under way, in ms. */
-  private static final long LIST_MILLIS = 700;
-
-  /** A list older than this, in ms, is not decided on. */
-  private static final long LIST_MAX_AGE_MILLIS = 2_500;
-
   /** Pause after a refused order, in ms. */
   private static final long RETRY_MILLIS = 400;
 
@@ -86,14 +79,11 @@
   private final SchedulerLease lease;
   private final SchedulerSettings settings;
   private final WorkerRegistry workers;
+  private final MachineList list;
   private final Actions actions;
 
   private final Map<Long, Progress> waves = new LinkedHashMap<>();
   private final Map<String, Long> retryAt = new HashMap<>();
-  private ImmutableList<Machine> machines = ImmutableList.of();
-  private long listedMillis = Long.MIN_VALUE;
-  private long nextListMillis;
-  private boolean listPending;
   private boolean orderPending;
   private long ordersFromMillis;
   private long term;
@@ -105,6 +95,7 @@
       SchedulerLease lease,
       SchedulerSettings settings,
       WorkerRegistry workers,
+      MachineList list,
       Actions actions) {
     this.port = port;
     this.clock = clock;
@@ -112,6 +103,7 @@
     this.lease = lease;
     this.settings = settings;
     this.workers = workers;
+    this.list = list;
     this.actions = actions;
   }
 
@@ -123,10 +115,7 @@
   void reset(long ordersFromMillis) {
     term++;
     this.ordersFromMillis = ordersFromMillis;
-    listPending = false;
     orderPending = false;
-    listedMillis = Long.MIN_VALUE;
-    nextListMillis = 0;
     retryAt.clear();
     waves.clear();
   }
@@ -156,36 +145,14 @@
     if (!isActive || !lease.isValid()) {
       return;
     }
-    if (!listPending && nowMillis >= nextListMillis) {
-      list(nowMillis);
-    }
-    boolean isListFresh = nowMillis - listedMillis < LIST_MAX_AGE_MILLIS && listedMillis >= 0;
-    if (isListFresh) {
+    list.tick(nowMillis);
+    if (list.isFresh(nowMillis)) {
       waves.values().stream()
           .filter(progress -> !progress.toldCompleted)
           .forEach(progress -> advance(progress, nowMillis));
     }
   }
 
-  private void list(long nowMillis) {
-    listPending = true;
-    long sentTerm = term;
-    port.list(
-        answer -> {
-          if (term != sentTerm) {
-            return;
-          }
-          listPending = false;
-          nextListMillis = clock.monotonicMillis() + LIST_MILLIS;
-          if (answer.isRight()) {
-            machines = answer.get();
-            listedMillis = nowMillis;
-          } else {
-            log.log("machines.list_failed", "failure", answer.getLeft());
-          }
-        });
-  }
-
   private void advance(Progress progress, long nowMillis) {
     if (!progress.toldRunning) {
       progress.toldRunning = true;
@@ -195,7 +162,7 @@
     List<String> remaining = progress.remaining();
     remaining.removeIf(
         machine -> {
-          boolean isAbsent = find(machine).isEmpty();
+          boolean isAbsent = list.find(machine).isEmpty();
           if (isAbsent) {
             progress.begun.add(machine);
             log.log("wave.machine_left", "wave", progress.wave.number(), "machine", machine);
@@ -219,13 +186,14 @@
   /** A VM is back when a list that was asked for after the order shows it up. */
   private boolean isBack(Progress progress, String machine) {
     long ordered = progress.down.get(machine);
-    boolean isListNewer = listedMillis > ordered + settings.maintenanceMillis() / 2;
-    return isListNewer && find(machine).map(found -> found.state() == MachineState.UP).orElse(true);
+    boolean isListNewer = list.askedMillis() > ordered + settings.maintenanceMillis() / 2;
+    return isListNewer
+        && list.find(machine).map(found -> found.state() == MachineState.UP).orElse(true);
   }
 
   private int downCount(Progress progress) {
     Set<String> down = new HashSet<>(progress.down.keySet());
-    for (Machine machine : machines) {
+    for (Machine machine : list.machines()) {
       boolean isDown =
           machine.state() == MachineState.IN_MAINTENANCE
               && progress.wave.machines().contains(machine.id());
@@ -247,7 +215,8 @@
       Optional<Worker> worker = workers.onMachine(machine);
       worker.ifPresent(found -> cordon(found, progress, nowMillis));
       boolean isEmpty = worker.map(Worker::isEmpty).orElse(true);
-      boolean isUp = find(machine).map(found -> found.state() == MachineState.UP).orElse(false);
+      boolean isUp =
+          list.find(machine).map(found -> found.state() == MachineState.UP).orElse(false);
       if (isEmpty && isUp && down < maxDown) {
         if (maintain(progress, machine, worker, nowMillis)) {
           down++;
@@ -291,7 +260,7 @@
         continue;
       }
       if (task.step.lasting()) {
-        if (!task.isAtWork() || Availability.allowsStop(task)) {
+        if (!task.isAtWork(nowMillis) || Availability.allowsStop(task, nowMillis)) {
           actions.stop(task, "wave");
         }
       } else if (isOverdue) {
@@ -353,7 +322,7 @@
         "answer",
         answer,
         "listAge",
-        clock.monotonicMillis() - listedMillis);
+        clock.monotonicMillis() - list.askedMillis());
     boolean isUnknown = answer.isLeft() && answer.getLeft() == CallFailure.OUTCOME_UNKNOWN;
     boolean isAccepted = answer.isRight() && answer.get() == MachineReply.ACCEPTED;
     if (isAccepted) {
@@ -374,8 +343,4 @@
       worker.ifPresent(found -> found.cordon = "");
     }
   }
-
-  private Optional<Machine> find(String machine) {
-    return machines.stream().filter(found -> found.id().equals(machine)).findFirst();
-  }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -23,6 +23,7 @@
   private final Quarantine quarantine;
   private final AdviceDesk advice;
   private final EventLog log;
+  private Backlog backlog = new Backlog();
 
   Placement(
       QueueBook queues,
@@ -42,8 +43,14 @@
   /** A job with its terms and rank, as of one round. */
   private record Candidate(Job job, QueueConfig queue, JobOrder.Rank rank, List<Task> tasks) {}
 
+  /** What the last round had no room for. */
+  Backlog backlog() {
+    return backlog;
+  }
+
   /** Assigns what can be assigned; returns the jobs that have changed. */
   Set<Job> run(Collection<Job> jobs, long nowMillis, long wallMillis) {
+    backlog = new Backlog();
     List<Candidate> candidates = new ArrayList<>();
     for (Job job : jobs) {
       if (job.state.isFinal() || job.cancelRequested) {
@@ -62,7 +69,7 @@
       List<Worker> pool =
           usable.computeIfAbsent(
               candidate.queue().service(), service -> usableIn(service, nowMillis));
-      if (!pool.isEmpty() && place(candidate, pool, nowMillis)) {
+      if (place(candidate, pool, nowMillis)) {
         changed.add(candidate.job());
       }
     }
@@ -111,6 +118,7 @@
       }
       Optional<Worker> worker = WorkerChoice.choose(task, allowed);
       if (worker.isEmpty()) {
+        waitsForRoom(candidate, tasks.subList(tasks.indexOf(task), tasks.size()));
         break;
       }
       assign(task, worker.get(), task.attempt + 1, tickets.get());
@@ -142,7 +150,18 @@
         }
       }
     }
-    return tryGang(candidate.job(), tasks, allowed, tickets.get());
+    boolean isPlaced = tryGang(candidate.job(), tasks, allowed, tickets.get());
+    if (!isPlaced) {
+      waitsForRoom(candidate, tasks);
+    }
+    return isPlaced;
+  }
+
+  /** Jobs that come too late anyway need no more room for their sake. */
+  private void waitsForRoom(Candidate candidate, List<Task> tasks) {
+    if (candidate.rank().isWorthRoom()) {
+      tasks.forEach(task -> backlog.add(candidate.queue().service(), task));
+    }
   }
 
   private boolean tryGang(
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
@@ -0,0 +1,322 @@
+package org.sassafraslink.scheduler;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.FleetSettings;
+import org.sassafraslink.api.fleet.FleetSettings.ServiceConfig;
+import org.sassafraslink.api.fleet.MachinePort;
+import org.sassafraslink.api.fleet.MachinePort.Authority;
+import org.sassafraslink.api.fleet.MachinePort.Machine;
+import org.sassafraslink.api.fleet.MachinePort.MachineReply;
+import org.sassafraslink.api.fleet.MachinePort.MachineState;
+import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.api.log.EventLog;
+
+/**
+ * Moves empty VMs to the pools where tasks wait, and to the pool that is powered off when nobody
+ * needs them.
+ *
+ * <p>A pool gets VMs when more waits there than its own workers will soon have room for; VMs come
+ * from pools that do not need them, then from the pool that is powered off. A VM that has been
+ * empty for a while is powered off. The pause before keeps VMs from moving back and forth with
+ * every gap in the demand.
+ */
+final class PoolSizer {
+  /** A VM empty for this long is powered off, in ms; about twice the price of two moves. */
+  private static final long POWER_OFF_MILLIS = 3_000;
+
+  /** A VM empty for this long may go to a pool where tasks wait, in ms. */
+  private static final long LEND_MILLIS = 600;
+
+  /** The part of a pool's capacity that comes free before a moved VM would arrive. */
+  private static final double SOON_FREE_PART = 0.25;
+
+  /** A pool keeps at least this many workers. */
+  private static final int MIN_WORKERS = 2;
+
+  /** Moves under way at once. */
+  private static final int MAX_MOVES = 12;
+
+  /** A move that has not shown in any list is forgotten after this, in ms. */
+  private static final long FORGET_MILLIS = 6_000;
+
+  /** Pause before a VM that could not be moved is tried again, in ms. */
+  private static final long RETRY_MILLIS = 2_000;
+
+  private static final String CORDON = "move";
+
+  private record Move(String pool, long sinceMillis) {}
+
+  private final MachinePort port;
+  private final FleetClock clock;
+  private final EventLog log;
+  private final SchedulerLease lease;
+  private final SchedulerSettings settings;
+  private final WorkerRegistry workers;
+  private final QueueBook queues;
+  private final MachineList list;
+  private final Maintenance.Actions actions;
+
+  private final Map<String, Move> moves = new HashMap<>();
+  private final Map<String, Long> retryAt = new HashMap<>();
+  private final Map<Worker, Long> emptySince = new HashMap<>();
+  private final Set<String> impossible = new HashSet<>();
+  private long ordersFromMillis;
+  private long term;
+
+  PoolSizer(
+      MachinePort port,
+      FleetClock clock,
+      EventLog log,
+      SchedulerLease lease,
+      SchedulerSettings settings,
+      WorkerRegistry workers,
+      QueueBook queues,
+      MachineList list,
+      Maintenance.Actions actions) {
+    this.port = port;
+    this.clock = clock;
+    this.log = log;
+    this.lease = lease;
+    this.settings = settings;
+    this.workers = workers;
+    this.queues = queues;
+    this.list = list;
+    this.actions = actions;
+  }
+
+  /**
+   * Begins anew.
+   *
+   * @param ordersFrom when the last order of an earlier scheduler is long enough ago, monotonic ms
+   */
+  void reset(long ordersFrom) {
+    term++;
+    ordersFromMillis = ordersFrom;
+    moves.clear();
+    retryAt.clear();
+    emptySince.clear();
+  }
+
+  /** Decides by what the last round of placement had no room for. */
+  void tick(Backlog backlog, long nowMillis) {
+    Optional<FleetSettings> known = queues.settings();
+    if (known.isEmpty() || !lease.isValid()) {
+      return;
+    }
+    observe(nowMillis);
+    if (nowMillis < ordersFromMillis) {
+      return;
+    }
+    list.tick(nowMillis);
+    if (!list.isFresh(nowMillis)) {
+      return;
+    }
+    for (ServiceConfig pool : known.get().services().values()) {
+      if (!pool.standby()) {
+        grow(pool.name(), backlog, nowMillis);
+      }
+    }
+    queues.standbyPool().ifPresent(off -> powerOff(off, known.get(), backlog, nowMillis));
+  }
+
+  private void observe(long nowMillis) {
+    Set<Worker> present = new HashSet<>(workers.all());
+    emptySince.keySet().retainAll(present);
+    for (Worker worker : present) {
+      if (worker.isEmpty()) {
+        emptySince.putIfAbsent(worker, nowMillis);
+      } else {
+        emptySince.remove(worker);
+      }
+    }
+    for (Map.Entry<String, Move> entry : List.copyOf(moves.entrySet())) {
+      if (isOver(entry.getKey(), entry.getValue(), nowMillis)) {
+        moves.remove(entry.getKey());
+        workers
+            .onMachine(entry.getKey())
+            .filter(worker -> worker.cordon.equals(CORDON))
+            .ifPresent(worker -> worker.cordon = "");
+      }
+    }
+  }
+
+  private boolean isOver(String machine, Move move, long nowMillis) {
+    boolean hasArrived =
+        workers
+            .onMachine(machine)
+            .map(worker -> worker.known && worker.entry.service().equals(move.pool()))
+            .orElse(false);
+    boolean isListed =
+        list.askedMillis() > move.sinceMillis() + settings.moveMillis()
+            && list.find(machine)
+                .map(found -> found.pool().equals(move.pool()) && found.state() == MachineState.UP)
+                .orElse(true)
+            && queues.standbyPool().equals(Optional.of(move.pool()));
+    return hasArrived || isListed || nowMillis - move.sinceMillis() > FORGET_MILLIS;
+  }
+
+  private void grow(String pool, Backlog backlog, long nowMillis) {
+    Backlog.Waiting waiting = backlog.in(pool);
+    if (waiting.tasks() == 0) {
+      return;
+    }
+    List<Worker> own = workers.listedIn(pool);
+    Resources capacity = Resources.NONE;
+    Resources largest = Resources.NONE;
+    for (Worker worker : own) {
+      capacity = capacity.plus(worker.entry.capacity());
+      largest = worker.entry.capacity();
+    }
+    if (own.isEmpty()) {
+      largest = anyCapacity();
+    }
+    int missing = missing(waiting, capacity, largest);
+    long coming = moves.values().stream().filter(move -> move.pool().equals(pool)).count();
+    for (long i = coming; i < missing && moves.size() < MAX_MOVES; i++) {
+      Optional<String> machine = spare(pool, backlog, nowMillis);
+      if (machine.isEmpty()) {
+        return;
+      }
+      move(machine.get(), pool, "backlog of " + waiting.tasks() + " tasks", nowMillis);
+    }
+  }
+
+  private static int missing(Backlog.Waiting waiting, Resources capacity, Resources one) {
+    double cpu =
+        part(waiting.need().cpuMillis() - SOON_FREE_PART * capacity.cpuMillis(), one.cpuMillis());
+    double memory =
+        part(waiting.need().memoryMb() - SOON_FREE_PART * capacity.memoryMb(), one.memoryMb());
+    double accelerators =
+        part(
+            waiting.need().accelerators() - SOON_FREE_PART * capacity.accelerators(),
+            one.accelerators());
+    int missing = (int) Math.ceil(Math.max(cpu, Math.max(memory, accelerators)));
+    // A lasting task waits for a worker that has none of its step yet, however much room there is.
+    return Math.max(missing, waiting.lastingTasks() > 0 ? 1 : 0);
+  }
+
+  private static double part(double amount, long of) {
+    return of == 0 ? 0 : Math.max(0, amount / of);
+  }
+
+  private Resources anyCapacity() {
+    return workers.all().stream()
+        .map(worker -> worker.entry.capacity())
+        .findFirst()
+        .orElse(Resources.NONE);
+  }
+
+  /** An empty VM that another pool does not need, else one that is powered off. */
+  private Optional<String> spare(String pool, Backlog backlog, long nowMillis) {
+    for (Map.Entry<Worker, Long> entry : emptySince.entrySet()) {
+      Worker worker = entry.getKey();
+      String from = worker.entry.service();
+      boolean isIdle = nowMillis - entry.getValue() >= LEND_MILLIS;
+      boolean isFree =
+          !from.equals(pool)
+              && backlog.in(from).tasks() == 0
+              && workers.listedIn(from).size() > MIN_WORKERS
+              && isMovable(worker, pool, nowMillis);
+      if (isIdle && isFree) {
+        return Optional.of(worker.entry.machine());
+      }
+    }
+    Optional<String> off = queues.standbyPool();
+    return list.machines().stream()
+        .filter(machine -> off.equals(Optional.of(machine.pool())))
+        .filter(machine -> machine.state() == MachineState.UP)
+        .map(Machine::id)
+        .filter(machine -> mayOrder(machine, pool, nowMillis))
+        .findFirst();
+  }
+
+  private boolean isMovable(Worker worker, String pool, long nowMillis) {
+    return worker.listed
+        && worker.known
+        && worker.isEmpty()
+        && !worker.entry.draining()
+        && worker.silences == 0
+        && worker.cordon.isEmpty()
+        && !worker.entry.machine().isEmpty()
+        && mayOrder(worker.entry.machine(), pool, nowMillis);
+  }
+
+  private boolean mayOrder(String machine, String pool, long nowMillis) {
+    return !moves.containsKey(machine)
+        && !impossible.contains(machine + " " + pool)
+        && nowMillis >= retryAt.getOrDefault(machine, Long.MIN_VALUE);
+  }
+
+  private void powerOff(String off, FleetSettings known, Backlog backlog, long nowMillis) {
+    for (Map.Entry<Worker, Long> entry : List.copyOf(emptySince.entrySet())) {
+      Worker worker = entry.getKey();
+      String from = worker.entry.service();
+      ServiceConfig pool = known.services().get(from);
+      boolean isIdle = nowMillis - entry.getValue() >= POWER_OFF_MILLIS;
+      boolean isUnneeded =
+          pool != null
+              && !pool.standby()
+              && backlog.in(from).tasks() == 0
+              && staying(from) > MIN_WORKERS;
+      boolean hasRoom = moves.size() < MAX_MOVES;
+      if (isIdle && isUnneeded && hasRoom && isMovable(worker, off, nowMillis)) {
+        move(worker.entry.machine(), off, "idle", nowMillis);
+      }
+    }
+  }
+
+  private long staying(String pool) {
+    return workers.listedIn(pool).stream().filter(worker -> worker.cordon.isEmpty()).count();
+  }
+
+  private void move(String machine, String pool, String reason, long nowMillis) {
+    Optional<Worker> worker = workers.onMachine(machine);
+    worker.ifPresent(found -> found.cordon = CORDON);
+    moves.put(machine, new Move(pool, nowMillis));
+    log.log("machine.move", "machine", machine, "pool", pool, "reason", reason);
+    long sentTerm = term;
+    port.move(
+        machine,
+        pool,
+        new Authority(settings.node(), lease.epoch()),
+        answer -> {
+          if (term == sentTerm) {
+            onAnswer(machine, pool, worker, answer);
+          }
+        });
+  }
+
+  private void onAnswer(
+      String machine,
+      String pool,
+      Optional<Worker> worker,
+      Either<CallFailure, MachineReply> answer) {
+    boolean isAccepted = answer.isRight() && answer.get() == MachineReply.ACCEPTED;
+    if (isAccepted) {
+      worker.ifPresent(actions::ended);
+      return;
+    }
+    log.log("machine.not_moved", "machine", machine, "pool", pool, "answer", answer);
+    boolean isUnknown = answer.isLeft() && answer.getLeft() == CallFailure.OUTCOME_UNKNOWN;
+    if (isUnknown) {
+      // It may have moved: it gets no tasks until the move shows or is forgotten.
+      return;
+    }
+    moves.remove(machine);
+    retryAt.put(machine, clock.monotonicMillis() + RETRY_MILLIS);
+    worker.ifPresent(found -> found.cordon = "");
+    if (answer.isLeft() && answer.getLeft() == CallFailure.REJECTED) {
+      impossible.add(machine + " " + pool);
+    } else if (answer.isRight() && answer.get() == MachineReply.FENCED) {
+      actions.onFenced();
+    }
+  }
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -51,7 +51,9 @@
   private final Committer committer;
   private final Orders orders;
   private final WorkerHolds holds;
+  private final MachineList machineList;
   private final Maintenance maintenance;
+  private final PoolSizer poolSizer;
   private final PendingCounts pendingCounts;
   private final FinalRows finalRows;
   private final AdviceDesk advice;
@@ -82,14 +84,13 @@
       FleetClock clock,
       EventLog log,
       RowFormats formats,
-      SchedulerSettings settings) {
+      SchedulerSettings settings,
+      HolderWatch watch) {
     this.clock = clock;
     this.log = log;
     this.settings = settings;
     this.formats = formats;
-    this.lease =
-        new SchedulerLease(
-            store, clock, log, settings.node(), settings.process(), new LeaseListener());
+    this.lease = new SchedulerLease(store, clock, log, settings, watch, new LeaseListener());
     this.workers = new WorkerRegistry(store, clock, log, formats, this::onWorkerGone);
     this.feed = new JobFeed(store, clock, log, new FeedListener());
     this.committer = new Committer(store, clock, log, lease, new CommitListener());
@@ -104,9 +105,13 @@
             jobs::get,
             new TaskListener());
     this.holds = new WorkerHolds(workerPort, clock, log, lease, settings, new HoldListener());
+    this.machineList = new MachineList(machinePort, clock, log);
+    MaintenanceActions actions = new MaintenanceActions();
     this.maintenance =
-        new Maintenance(
-            machinePort, clock, log, lease, settings, workers, new MaintenanceActions());
+        new Maintenance(machinePort, clock, log, lease, settings, workers, machineList, actions);
+    this.poolSizer =
+        new PoolSizer(
+            machinePort, clock, log, lease, settings, workers, queues, machineList, actions);
     this.pendingCounts = new PendingCounts(store, lease);
     this.finalRows = new FinalRows(store, clock, lease, settings.stateKeptMillis());
     this.waveStatus = new WaveStatus(store, clock, lease, formats);
@@ -125,8 +130,10 @@
       FleetClock clock,
       EventLog log,
       RowFormats formats,
-      SchedulerSettings settings) {
-    return new Scheduler(store, workerPort, machinePort, advicePort, clock, log, formats, settings);
+      SchedulerSettings settings,
+      HolderWatch watch) {
+    return new Scheduler(
+        store, workerPort, machinePort, advicePort, clock, log, formats, settings, watch);
   }
 
   /** Takes a version of the configuration that is in force. */
@@ -180,6 +187,7 @@
     maintenance.tick(now);
     leaveDrainingWorkers();
     place(now);
+    poolSizer.tick(placement.backlog(), now);
     committer.tick(now);
     pendingCounts.tick(jobs.values(), now);
     waveStatus.tick(now);
@@ -394,11 +402,14 @@
       long leases = (long) (settings.maxLeaseMillis() * CLOCK_MARGIN);
       reset();
       workers.reset(now + SchedulerLease.LEASE_MILLIS + leases + EARLIER_LEASE_SLACK_MILLIS);
-      maintenance.reset(
+      long ordersFrom =
           now
               + SchedulerLease.LEASE_MILLIS
               + settings.orderPauseMillis()
-              + EARLIER_LEASE_SLACK_MILLIS);
+              + EARLIER_LEASE_SLACK_MILLIS;
+      machineList.reset();
+      maintenance.reset(ordersFrom);
+      poolSizer.reset(ordersFrom);
     }
 
     @Override
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -46,18 +46,18 @@
   private static final String RELEASED = "released";
 
   /** What the holder row says. */
-  private record Holder(String node, String process, long epoch) {
-    static final Holder NOBODY = new Holder("", "", 0);
+  private record Holder(String node, String process, long epoch, String address) {
+    static final Holder NOBODY = new Holder("", "", 0, "");
 
     String encode() {
-      return node + " " + process + " " + epoch;
+      return node + " " + process + " " + epoch + " " + address;
     }
 
     static Holder decode(String value) {
       String[] parts = value.split(" ", -1);
       try {
-        return parts.length == 3
-            ? new Holder(parts[0], parts[1], Long.parseLong(parts[2]))
+        return parts.length == 4
+            ? new Holder(parts[0], parts[1], Long.parseLong(parts[2]), parts[3])
             : NOBODY;
       } catch (NumberFormatException e) {
         return NOBODY;
@@ -75,12 +75,17 @@
   private final RowStore store;
   private final FleetClock clock;
   private final EventLog log;
-  private final String node;
-  private final String process;
+  private final SchedulerSettings settings;
+  private final HolderWatch watch;
   private final Listener listener;
 
   private boolean holding;
   private boolean callPending;
+  private boolean takeoverPending;
+
+  /** Rises with each takeover, so that answers to earlier reads are told apart. */
+  private long readTerm;
+
   private boolean stopping;
   private long nextCallMillis;
 
@@ -88,10 +93,15 @@
   private long holderVersion;
   private long renewalVersion;
   private boolean released;
+
+  /** Whether nothing listens any more where the holder did. */
+  private boolean holderGone;
+
   private long feedVersion = -1;
   private long renewalSeenMillis;
   private long answeredMillis;
   private long renewals;
+  private boolean isWatching;
 
   private long validUntilMillis;
   private long validUntilWallMillis;
@@ -100,14 +110,14 @@
       RowStore store,
       FleetClock clock,
       EventLog log,
-      String node,
-      String process,
+      SchedulerSettings settings,
+      HolderWatch watch,
       Listener listener) {
     this.store = store;
     this.clock = clock;
     this.log = log;
-    this.node = node;
-    this.process = process;
+    this.settings = settings;
+    this.watch = watch;
     this.listener = listener;
   }
 
@@ -149,19 +159,40 @@
 
   /** Makes the next call if one is due. */
   void tick(long nowMillis) {
-    if (callPending || stopping || nowMillis < nextCallMillis) {
+    if (stopping || nowMillis < nextCallMillis) {
       return;
     }
-    if (holding) {
+    if (!holding && holderGone && !takeoverPending && feedVersion >= 0) {
+      // The long poll that may be under way is not waited for.
+      takeOver(nowMillis);
+    } else if (callPending || takeoverPending) {
+      return;
+    } else if (holding) {
       renew(nowMillis);
     } else if (feedVersion < 0) {
       callPending = true;
-      store.read(new Range(TABLE, JobRows.PART, "", ""), this::onRows);
+      long term = readTerm;
+      store.read(
+          new Range(TABLE, JobRows.PART, "", ""),
+          answer -> {
+            if (term == readTerm) {
+              onRows(answer);
+            }
+          });
     } else if (mayTakeOver(nowMillis)) {
       takeOver(nowMillis);
     } else {
       callPending = true;
-      store.changes(TABLE, feedVersion, FOLLOW_WAIT_MILLIS, this::onChanges);
+      long term = readTerm;
+      store.changes(
+          TABLE,
+          feedVersion,
+          FOLLOW_WAIT_MILLIS,
+          answer -> {
+            if (term == readTerm) {
+              onChanges(answer);
+            }
+          });
     }
   }
 
@@ -172,29 +203,33 @@
   private boolean mayTakeOver(long nowMillis) {
     boolean isFresh = nowMillis - answeredMillis < LEASE_MILLIS / 2;
     boolean isSilent = nowMillis - renewalSeenMillis > LEASE_MILLIS + TAKEOVER_SLACK_MILLIS;
-    boolean isOwn = holder.node().equals(node);
+    boolean isOwn = holder.node().equals(settings.node());
     return isFresh && (holderVersion == RowStore.ABSENT || released || isOwn || isSilent);
   }
 
   private void takeOver(long nowMillis) {
-    Holder next = new Holder(node, process, holder.epoch() + 1);
+    Holder next =
+        new Holder(settings.node(), settings.process(), holder.epoch() + 1, settings.peerAddress());
     Change change =
         new Change(
             ImmutableList.of(
                 new Expectation(HOLDER, holderVersion), new Expectation(RENEWAL, renewalVersion)),
             ImmutableList.of(new Put(HOLDER, next.encode()), new Put(RENEWAL, renewalValue())),
             ImmutableList.of());
-    callPending = true;
+    takeoverPending = true;
+    callPending = false;
+    readTerm++;
     long wallMillis = clock.wallMillis();
     store.change(
         change,
         outcome -> {
-          callPending = false;
+          takeoverPending = false;
           if (outcome instanceof Outcome.Committed committed) {
             holder = next;
             holderVersion = committed.version();
             renewalVersion = committed.version();
             released = false;
+            holderGone = false;
             holding = true;
             extend(nowMillis, wallMillis);
             log.log("lease.acquired", "epoch", next.epoch());
@@ -202,6 +237,7 @@
           } else {
             // Read again: another process was faster, or the answer was lost.
             feedVersion = -1;
+            holderGone = false;
             nextCallMillis = clock.monotonicMillis() + RETRY_MILLIS;
             log.log("lease.not_acquired", "epoch", next.epoch(), "outcome", outcome);
           }
@@ -252,6 +288,9 @@
 
   private void lose(String reason) {
     holding = false;
+    isWatching = false;
+    callPending = false;
+    readTerm++;
     feedVersion = -1;
     log.log("lease.lost", "epoch", holder.epoch(), "reason", reason);
     listener.onLost();
@@ -295,8 +334,15 @@
 
   private void take(StoredRow row, long nowMillis) {
     if (row.key().key().equals(HOLDER.key())) {
-      holder = Holder.decode(row.value());
+      Holder seen = Holder.decode(row.value());
+      boolean isOther = !seen.process().equals(holder.process());
+      holder = seen;
       holderVersion = row.version();
+      if (isOther || !isWatching) {
+        isWatching = true;
+        holderGone = false;
+        watch.watch(seen.address(), () -> onHolderGone(seen));
+      }
     } else if (row.key().key().equals(RENEWAL.key()) && row.version() != renewalVersion) {
       renewalVersion = row.version();
       renewalSeenMillis = nowMillis;
@@ -304,6 +350,13 @@
     }
   }
 
+  private void onHolderGone(Holder gone) {
+    if (!holding && holder.process().equals(gone.process())) {
+      log.log("lease.holder_gone", "node", gone.node(), "epoch", gone.epoch());
+      holderGone = true;
+    }
+  }
+
   private Change renewal(String value) {
     return new Change(
         ImmutableList.of(guard(), new Expectation(RENEWAL, renewalVersion)),
@@ -313,7 +366,7 @@
 
   private String renewalValue() {
     renewals++;
-    return process + " " + renewals;
+    return settings.process() + " " + renewals;
   }
 
   private static Optional<StoredRow> find(ImmutableList<StoredRow> rows, RowKey key) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
@@ -7,6 +7,7 @@
  *
  * @param node the VM of this process
  * @param process names this process among all that ever ran
+ * @param peerAddress where other entry VMs find that this process lives
  * @param leaseMillis how long workers may run on without hearing from a scheduler
  * @param maxLeaseMillis the longest lease that any scheduler may have granted
  * @param orderPauseMillis two holders of the scheduling lease keep this apart in orders to VMs
@@ -15,6 +16,7 @@
 public record SchedulerSettings(
     String node,
     String process,
+    String peerAddress,
     long leaseMillis,
     long maxLeaseMillis,
     long orderPauseMillis,
@@ -38,6 +40,7 @@
     return new SchedulerSettings(
         node.node(),
         process,
+        node.peers().getHostString() + ":" + node.peers().getPort(),
         lease,
         lease,
         node.orderPauseMillis(),
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -81,9 +81,9 @@
     return step.need();
   }
 
-  /** Whether the task serves or works right now. */
-  boolean isAtWork() {
-    return phase == TaskPhase.RUNNING && percent >= 100;
+  /** Whether the task serves or works right now, as far as its worker has told lately. */
+  boolean isAtWork(long nowMillis) {
+    return phase == TaskPhase.RUNNING && percent >= 100 && worker.isHeardOf(nowMillis);
   }
 
   /** Gives the task a worker for its next attempt. */
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -20,6 +20,9 @@
   /** The slowest that a worker's steady clock may run, as a part of true time. */
   private static final double CLOCK_SLOWNESS = 0.98;
 
+  /** What a worker told is relied on for this long, in ms: one waiting request, and its answer. */
+  private static final long HEARD_MILLIS = 1_700;
+
   /** Added to the end of a lease before its tasks count as killed, in ms. */
   private static final long EXPIRY_SLACK_MILLIS = 150;
 
@@ -120,6 +123,11 @@
         && clockMillis + passed > leaseEndMillis + EXPIRY_SLACK_MILLIS;
   }
 
+  /** Whether it has answered so lately that what it told still holds. */
+  boolean isHeardOf(long nowMillis) {
+    return silences == 0 && nowMillis - heardMillis < HEARD_MILLIS;
+  }
+
   void add(Task task) {
     tasks.put(task.id, task);
     reserved = reserved.plus(task.step.reserved());
--- /dev/null
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TestWorkers.java
@@ -0,0 +1,37 @@
+package org.sassafraslink.scheduler;
+
+import com.google.common.collect.ImmutableList;
+import java.net.InetSocketAddress;
+import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.api.fleet.WorkerEntry;
+
+/** Workers for tests of single rules. */
+final class TestWorkers {
+  static final Resources CAPACITY = new Resources(16_000, 64_000, 0);
+
+  private TestWorkers() {}
+
+  /** A listed worker that has answered. */
+  static Worker named(String id) {
+    return inPool(id, "pool");
+  }
+
+  static Worker inPool(String id, String pool) {
+    Worker worker =
+        new Worker(
+            new WorkerEntry(
+                id,
+                1,
+                pool,
+                InetSocketAddress.createUnresolved(id, 1),
+                "zone",
+                "m-" + id,
+                "r1",
+                ImmutableList.of("a", "r1"),
+                CAPACITY,
+                false),
+            0);
+    worker.known = true;
+    return worker;
+  }
+}
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -32,6 +32,7 @@
   }
 
   private static final long TICK_MILLIS = 10;
+  private static final long WATCH_MILLIS = 20;
   private static final long ORDER_MILLIS = 2;
   private static final long TIMEOUT_MILLIS = 600;
   private static final long LATE_MILLIS = 4_000;
@@ -42,6 +43,8 @@
   private final Deque<Runnable> held = new ArrayDeque<>();
   private final Map<String, OrderFate> fates = new HashMap<>();
   private OrderFate fate = OrderFate.ANSWERED;
+  private final String address;
+  private String watched = "";
   private boolean paused;
   private boolean killed;
 
@@ -51,6 +54,7 @@
   SimNode(SimFleet fleet, String name) {
     this.fleet = fleet;
     this.name = name;
+    this.address = name + "@" + fleet.clock.now();
     FleetClock clock =
         new FleetClock() {
           @Override
@@ -75,6 +79,7 @@
             new SchedulerSettings(
                 name,
                 name + "-" + fleet.clock.now(),
+                name + "@" + fleet.clock.now(),
                 5_400,
                 5_400,
                 3_000,
@@ -82,10 +87,29 @@
                 2_000,
                 1_500,
                 4_500,
-                4_000));
+                4_000),
+            this::watch);
     scheduler.onConfig(SimFleet.settings());
   }
 
+  /** Like a connection to the holder, which is reset when its process is gone. */
+  private void watch(String address, Runnable onGone) {
+    watched = address;
+    fleet.clock.after(WATCH_MILLIS, () -> checkWatched(address, onGone));
+  }
+
+  private void checkWatched(String address, Runnable onGone) {
+    if (killed || !address.equals(watched) || address.isEmpty()) {
+      return;
+    }
+    SimNode holder = fleet.nodes.get(address.substring(0, address.indexOf('@')));
+    if (holder == null || !holder.address.equals(address)) {
+      onThis(ignored -> onGone.run()).accept(null);
+    } else {
+      fleet.clock.after(WATCH_MILLIS, () -> checkWatched(address, onGone));
+    }
+  }
+
   void start() {
     fleet.clock.after(TICK_MILLIS, this::tick);
   }
