Hand the lease on at once when the store does not answer its holder

The holder now extends its workers' leases once more, stops, and says so on the connections by which others watch it. A successor waits for orders of its predecessor only if that one may still live. Short tasks on VMs of a wave get 2 s.

--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatch.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatch.java
@@ -154,6 +154,21 @@
       return;
     }
     settings = read;
+    read.get()
+        .teams()
+        .values()
+        .forEach(
+            team ->
+                log.log(
+                    "config.team",
+                    "team",
+                    team.name(),
+                    "weight",
+                    team.weight(),
+                    "cap",
+                    team.cap(),
+                    "keys",
+                    team.keys().size()));
     log.log(
         "config.in_force",
         "version",
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -42,6 +42,7 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final SchedulerThread schedulerThread;
+  private final PeerWatch peers;
   private final Scheduler scheduler;
   private final ConfigWatch config;
   private final CallerServer callers;
@@ -60,6 +61,7 @@
         settings
             .advice()
             .map(address -> PortsOnThread.advice(FleetAdvice.at(address, http), schedulerThread));
+    peers = new PeerWatch(loop, schedulerThread);
     scheduler =
         Scheduler.create(
             PortsOnThread.rows(store, schedulerThread),
@@ -70,7 +72,7 @@
             log,
             new PlatformFormats(),
             SchedulerSettings.of(settings, process),
-            new PeerWatch(loop, schedulerThread));
+            peers);
     config =
         ConfigWatch.create(
             store,
@@ -89,7 +91,7 @@
     EntryNode node = new EntryNode(settings, log, process);
     node.group.next().execute(node.config::start);
     node.schedulerThread.start(node.scheduler);
-    PeerWatch.listen(node.group, settings.peers());
+    node.peers.listen(node.group, settings.peers());
     node.callers.listen(node.group, settings.callers());
     StatusServer.create(node::isReady).listen(node.group, settings.readiness());
     log.log("process.started", "process", process, "uptime", upMillis());
--- a/entry/src/main/java/org/sassafraslink/entry/process/PeerWatch.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/PeerWatch.java
@@ -2,8 +2,10 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -11,8 +13,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.sassafraslink.scheduler.HolderWatch;
@@ -21,9 +26,11 @@
  * Keeps a connection to the process that holds the scheduling lease.
  *
  * <p>When it breaks, a refused connection shows that the process is gone; a connection that is made
- * or that hangs shows nothing, and the lease decides. No bytes are sent.
+ * or that hangs shows nothing, and the lease decides. The only byte ever sent says that the process
+ * holds the lease no more.
  */
 final class PeerWatch implements HolderWatch {
+  private static final byte RELEASED = 1;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   /** Pause before a connection that failed without a refusal is tried again, in ms. */
@@ -37,6 +44,8 @@
   private long generation;
 
   private Channel connection;
+  private Runnable onRelease = () -> {};
+  private final Set<Channel> watchers = new HashSet<>();
 
   PeerWatch(EventLoop loop, Executor scheduler) {
     this.loop = loop;
@@ -46,16 +55,16 @@
             .group(loop)
             .channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(new Quiet());
+            .handler(new Watched());
   }
 
   /** Lets other processes watch this one. */
-  static void listen(EventLoopGroup group, InetSocketAddress address) {
+  void listen(EventLoopGroup group, InetSocketAddress address) {
     new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
-        .childHandler(new Quiet())
+        .childHandler(new Watcher())
         .bind(address)
         .syncUninterruptibly();
   }
@@ -65,6 +74,7 @@
     loop.execute(
         () -> {
           generation++;
+          onRelease = onGone;
           if (connection != null) {
             connection.close();
             connection = null;
@@ -77,6 +87,14 @@
         });
   }
 
+  @Override
+  public void announceRelease() {
+    loop.execute(
+        () ->
+            watchers.forEach(
+                watcher -> watcher.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {RELEASED}))));
+  }
+
   private void connect(InetSocketAddress address, Runnable onGone, long own) {
     if (own != generation) {
       return;
@@ -102,10 +120,39 @@
     return cause.getMessage() != null && cause.getMessage().contains("refused");
   }
 
-  private static final class Quiet extends ChannelInboundHandlerAdapter {
+  /** The end of a connection at the process that is watched. */
+  @ChannelHandler.Sharable
+  private final class Watcher extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      watchers.add(ctx.channel());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      watchers.remove(ctx.channel());
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      ReferenceCountUtil.release(message);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+
+  /** The end of a connection at the process that watches. */
+  @ChannelHandler.Sharable
+  private final class Watched extends ChannelInboundHandlerAdapter {
     @Override
-    public boolean isSharable() {
-      return true;
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      ReferenceCountUtil.release(message);
+      if (ctx.channel() == connection) {
+        scheduler.execute(onRelease);
+      }
     }
 
     @Override
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/AnsweredStore.java
@@ -0,0 +1,55 @@
+package org.sassafraslink.scheduler;
+
+import io.vavr.control.Either;
+import java.util.function.Consumer;
+import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.RowStore;
+
+/** Rows, and when they last answered. */
+final class AnsweredStore implements RowStore {
+  private final RowStore store;
+  private final FleetClock clock;
+  private long answeredMillis;
+
+  AnsweredStore(RowStore store, FleetClock clock) {
+    this.store = store;
+    this.clock = clock;
+    this.answeredMillis = clock.monotonicMillis();
+  }
+
+  /** When the store last answered any call, monotonic ms. */
+  long answeredMillis() {
+    return answeredMillis;
+  }
+
+  @Override
+  public void change(Change change, Consumer<Outcome> done) {
+    store.change(
+        change,
+        outcome -> {
+          if (!(outcome instanceof Outcome.Failed)) {
+            answeredMillis = clock.monotonicMillis();
+          }
+          done.accept(outcome);
+        });
+  }
+
+  @Override
+  public void read(Range range, Consumer<Either<CallFailure, Rows>> done) {
+    store.read(range, answer -> done.accept(noted(answer)));
+  }
+
+  @Override
+  public void changes(
+      String table, long version, int waitMillis, Consumer<Either<CallFailure, Rows>> done) {
+    store.changes(table, version, waitMillis, answer -> done.accept(noted(answer)));
+  }
+
+  private Either<CallFailure, Rows> noted(Either<CallFailure, Rows> answer) {
+    if (answer.isRight()) {
+      answeredMillis = clock.monotonicMillis();
+    }
+    return answer;
+  }
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Availability.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Availability.java
@@ -10,8 +10,16 @@
 final class Availability {
   private Availability() {}
 
-  /** Whether {@code task}, which is at work, may be stopped now. */
+  /** Whether {@code task}, which runs, may be stopped now. */
   static boolean allowsStop(Task task, long nowMillis) {
+    if (!task.worker.isHeardOf(nowMillis)) {
+      // What is known of the task is too old to decide on.
+      return false;
+    }
+    if (!task.isAtWork(nowMillis)) {
+      // It is away already, so that stopping it takes nothing from its step.
+      return true;
+    }
     int allowed = Math.max(1, task.step.maxUnavailable());
     int away = 0;
     for (Task other : task.job.occurrences().get(task.id.occurrence()).get(task.id.step())) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
@@ -34,6 +34,12 @@
   /** Shortest time that short tasks on a VM get to end, in ms. */
   private static final long MIN_DRAIN_MILLIS = 700;
 
+  /**
+   * Longest time that short tasks get to end, in ms. Most end within it, and time that is saved
+   * early makes up for failures later in the wave.
+   */
+  private static final long MAX_DRAIN_MILLIS = 2_000;
+
   /** The part of a wave's time that is planned for; the rest is for failures. */
   private static final double PLANNED_PART = 0.7;
 
@@ -233,7 +239,8 @@
     double left = planned - (nowMillis - progress.seenMillis);
     double rounds = Math.ceil((double) remaining / progress.wave.maxDown());
     double perRound = left / rounds;
-    return (long) Math.max(MIN_DRAIN_MILLIS, perRound - settings.maintenanceMillis());
+    double drain = perRound - settings.maintenanceMillis();
+    return (long) Math.max(MIN_DRAIN_MILLIS, Math.min(MAX_DRAIN_MILLIS, drain));
   }
 
   private void cordon(Worker worker, Progress progress, long nowMillis) {
@@ -260,7 +267,7 @@
         continue;
       }
       if (task.step.lasting()) {
-        if (!task.isAtWork(nowMillis) || Availability.allowsStop(task, nowMillis)) {
+        if (Availability.allowsStop(task, nowMillis)) {
           actions.stop(task, "wave");
         }
       } else if (isOverdue) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -35,6 +35,9 @@
   /** Added to the expiry of leases that earlier schedulers granted, in ms. */
   private static final long EARLIER_LEASE_SLACK_MILLIS = 300;
 
+  /** Bound on an order to the platform about a VM, in ms. */
+  private static final long ORDER_TIMEOUT_MILLIS = 900;
+
   /** Pause between two rounds of placement, in ms, so that events that come together share one. */
   private static final long PLACEMENT_MILLIS = 5;
 
@@ -90,10 +93,11 @@
     this.log = log;
     this.settings = settings;
     this.formats = formats;
-    this.lease = new SchedulerLease(store, clock, log, settings, watch, new LeaseListener());
-    this.workers = new WorkerRegistry(store, clock, log, formats, this::onWorkerGone);
-    this.feed = new JobFeed(store, clock, log, new FeedListener());
-    this.committer = new Committer(store, clock, log, lease, new CommitListener());
+    AnsweredStore answered = new AnsweredStore(store, clock);
+    this.lease = new SchedulerLease(answered, clock, log, settings, watch, new LeaseListener());
+    this.workers = new WorkerRegistry(answered, clock, log, formats, this::onWorkerGone);
+    this.feed = new JobFeed(answered, clock, log, new FeedListener());
+    this.committer = new Committer(answered, clock, log, lease, new CommitListener());
     this.orders = new Orders(workerPort, clock, log, lease, settings, new OrderListener());
     this.runLists =
         new RunLists(
@@ -396,22 +400,30 @@
 
   private final class LeaseListener implements SchedulerLease.Listener {
     @Override
-    public void onAcquired(long epoch) {
+    public void onAcquired(long epoch, boolean afterSilence) {
       long now = clock.monotonicMillis();
       acquiredMillis = now;
       long leases = (long) (settings.maxLeaseMillis() * CLOCK_MARGIN);
       reset();
-      workers.reset(now + SchedulerLease.LEASE_MILLIS + leases + EARLIER_LEASE_SLACK_MILLIS);
+      workers.reset(now + leases + EARLIER_LEASE_SLACK_MILLIS);
+      // A holder that is gone gives no more orders, and those under way are answered or lost.
       long ordersFrom =
           now
-              + SchedulerLease.LEASE_MILLIS
-              + settings.orderPauseMillis()
-              + EARLIER_LEASE_SLACK_MILLIS;
+              + EARLIER_LEASE_SLACK_MILLIS
+              + (afterSilence ? settings.orderPauseMillis() : ORDER_TIMEOUT_MILLIS);
       machineList.reset();
       maintenance.reset(ordersFrom);
       poolSizer.reset(ordersFrom);
     }
 
+    @Override
+    public void onGivingUp() {
+      // What runs gets all the time it may have until another scheduler takes over.
+      for (Worker worker : workers.all()) {
+        holds.extend(worker, clock.monotonicMillis());
+      }
+    }
+
     @Override
     public void onLost() {
       reset();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -34,6 +34,12 @@
 
   private static final long RENEWAL_INTERVAL_MILLIS = 600;
 
+  /**
+   * A holder that the store has not answered for this long, in ms, gives up: one renewal interval,
+   * and the answer of a slow store.
+   */
+  private static final long GIVE_UP_MILLIS = 850;
+
   /** Pause after a failed call to the store, in ms. */
   private static final long RETRY_MILLIS = 150;
 
@@ -67,12 +73,20 @@
 
   /** Hears of the lease; called on the scheduler's thread. */
   interface Listener {
-    void onAcquired(long epoch);
+    /**
+     * This process schedules from now on.
+     *
+     * @param afterSilence whether the earlier holder may still live, though its lease has expired
+     */
+    void onAcquired(long epoch, boolean afterSilence);
+
+    /** This process is about to give the lease up; its orders are still valid. */
+    void onGivingUp();
 
     void onLost();
   }
 
-  private final RowStore store;
+  private final AnsweredStore store;
   private final FleetClock clock;
   private final EventLog log;
   private final SchedulerSettings settings;
@@ -107,7 +121,7 @@
   private long validUntilWallMillis;
 
   SchedulerLease(
-      RowStore store,
+      AnsweredStore store,
       FleetClock clock,
       EventLog log,
       SchedulerSettings settings,
@@ -151,6 +165,7 @@
     stopping = true;
     if (holding) {
       lose("release");
+      watch.announceRelease();
       store.change(
           renewal(RELEASED),
           outcome -> log.log("lease.released", "epoch", holder.epoch(), "outcome", outcome));
@@ -216,6 +231,9 @@
                 new Expectation(HOLDER, holderVersion), new Expectation(RENEWAL, renewalVersion)),
             ImmutableList.of(new Put(HOLDER, next.encode()), new Put(RENEWAL, renewalValue())),
             ImmutableList.of());
+    boolean isOwn = holder.node().equals(settings.node());
+    boolean isVacant = holderVersion == RowStore.ABSENT || released || holderGone || isOwn;
+    boolean afterSilence = !isVacant;
     takeoverPending = true;
     callPending = false;
     readTerm++;
@@ -233,11 +251,10 @@
             holding = true;
             extend(nowMillis, wallMillis);
             log.log("lease.acquired", "epoch", next.epoch());
-            listener.onAcquired(next.epoch());
+            listener.onAcquired(next.epoch(), afterSilence);
           } else {
             // Read again: another process was faster, or the answer was lost.
             feedVersion = -1;
-            holderGone = false;
             nextCallMillis = clock.monotonicMillis() + RETRY_MILLIS;
             log.log("lease.not_acquired", "epoch", next.epoch(), "outcome", outcome);
           }
@@ -274,11 +291,24 @@
         lose("conflict");
       }
     } else {
-      nextCallMillis = clock.monotonicMillis() + RETRY_MILLIS;
-      log.log("lease.renewal_failed", "epoch", holder.epoch(), "outcome", outcome);
+      long now = clock.monotonicMillis();
+      nextCallMillis = now + RETRY_MILLIS;
+      long silence = now - store.answeredMillis();
+      log.log("lease.renewal_failed", "epoch", holder.epoch(), "silence", silence);
+      if (silence >= GIVE_UP_MILLIS) {
+        giveUp();
+      }
     }
   }
 
+  /** This VM seems cut off from the store: another one may reach it. */
+  private void giveUp() {
+    listener.onGivingUp();
+    lose("store_silent");
+    nextCallMillis = clock.monotonicMillis() + RETRY_MILLIS;
+    watch.announceRelease();
+  }
+
   /** Another process has a higher token: a worker has said so. */
   void onFenced() {
     if (holding) {
@@ -347,6 +377,7 @@
       renewalVersion = row.version();
       renewalSeenMillis = nowMillis;
       released = row.value().equals(RELEASED);
+      holderGone = false;
     }
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerHolds.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerHolds.java
@@ -103,6 +103,13 @@
     }
   }
 
+  /** Renews the lease of a worker that runs something, whatever request is under way. */
+  void extend(Worker worker, long nowMillis) {
+    if (worker.known && !worker.isEmpty() && worker.silences == 0) {
+      send(worker, 0, nowMillis);
+    }
+  }
+
   private void send(Worker worker, int waitMillis, long nowMillis) {
     if (!lease.isValid()) {
       return;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
@@ -60,7 +60,15 @@
     Consumer<Job> oneStops = job -> task(job, 1).phase = TaskPhase.STOPPING;
     Consumer<Job> oneIsSilent = job -> task(job, 1).worker.silences = 1;
     Consumer<Job> oneIsUnheard = job -> task(job, 1).worker.heardMillis = NOW - 2_000;
+    Consumer<Job> ownIsUnheard = job -> task(job, 0).worker.heardMillis = NOW - 2_000;
+    Consumer<Job> ownIsAway =
+        job -> {
+          task(job, 0).percent = 0;
+          task(job, 1).percent = 0;
+        };
     return Stream.of(
+        Arguments.of("its own worker has not answered lately", ownIsUnheard, 1, false),
+        Arguments.of("it is away itself", ownIsAway, 1, true),
         Arguments.of("all at work", nothing, 1, true),
         Arguments.of("none stated, all at work", nothing, 0, true),
         Arguments.of("one waits", oneWaits, 1, false),
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -15,6 +15,7 @@
 import org.sassafraslink.api.fleet.TaskId;
 import org.sassafraslink.api.fleet.WorkerEntry;
 import org.sassafraslink.api.fleet.WorkerPort;
+import org.sassafraslink.scheduler.HolderWatch;
 import org.sassafraslink.scheduler.Scheduler;
 import org.sassafraslink.scheduler.SchedulerSettings;
 
@@ -45,6 +46,7 @@
   private OrderFate fate = OrderFate.ANSWERED;
   private final String address;
   private String watched = "";
+  private Runnable onRelease = () -> {};
   private boolean paused;
   private boolean killed;
 
@@ -88,25 +90,38 @@
                 1_500,
                 4_500,
                 4_000),
-            this::watch);
+            new Watch());
     scheduler.onConfig(SimFleet.settings());
   }
 
   /** Like a connection to the holder, which is reset when its process is gone. */
-  private void watch(String address, Runnable onGone) {
-    watched = address;
-    fleet.clock.after(WATCH_MILLIS, () -> checkWatched(address, onGone));
-  }
+  private final class Watch implements HolderWatch {
+    @Override
+    public void watch(String address, Runnable onGone) {
+      watched = address;
+      onRelease = onGone;
+      fleet.clock.after(WATCH_MILLIS, () -> check(address, onGone));
+    }
 
-  private void checkWatched(String address, Runnable onGone) {
-    if (killed || !address.equals(watched) || address.isEmpty()) {
-      return;
+    private void check(String address, Runnable onGone) {
+      if (killed || !address.equals(watched) || address.isEmpty()) {
+        return;
+      }
+      SimNode holder = fleet.nodes.get(address.substring(0, address.indexOf('@')));
+      if (holder == null || !holder.address.equals(address)) {
+        onThis(ignored -> onGone.run()).accept(null);
+      } else {
+        fleet.clock.after(WATCH_MILLIS, () -> check(address, onGone));
+      }
     }
-    SimNode holder = fleet.nodes.get(address.substring(0, address.indexOf('@')));
-    if (holder == null || !holder.address.equals(address)) {
-      onThis(ignored -> onGone.run()).accept(null);
-    } else {
-      fleet.clock.after(WATCH_MILLIS, () -> checkWatched(address, onGone));
+
+    @Override
+    public void announceRelease() {
+      for (SimNode other : fleet.nodes.values()) {
+        if (other.watched.equals(address)) {
+          fleet.clock.after(1, () -> other.onThis(ignored -> other.onRelease.run()).accept(null));
+        }
+      }
     }
   }
 
