Start from a class-data archive made by the build

A restarted process is charged in full, and after a kill of all processes nothing is served before one is up.

--- a/entry/src/main/java/org/sassafraslink/entry/Main.java
+++ b/entry/src/main/java/org/sassafraslink/entry/Main.java
@@ -7,6 +7,7 @@
 import java.util.UUID;
 import org.sassafraslink.api.fleet.NodeSettings;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.entry.process.ClassLoading;
 import org.sassafraslink.entry.process.EntryNode;
 import org.sassafraslink.entry.process.EventLogs;
 import org.sassafraslink.platform.fleet.NodeFile;
@@ -20,9 +21,13 @@
 
   /**
    * Starts the daemon, or refuses its settings with exit code 2. With {@code --check-settings} it
-   * only checks them.
+   * only checks them; with {@code --load-classes} it starts and stops, for the class-data archive.
    */
-  public static void main(String[] args) throws ReflectiveOperationException {
+  public static void main(String[] args) throws ReflectiveOperationException, InterruptedException {
+    if (List.of(args).contains("--load-classes")) {
+      ClassLoading.run(EventLogs.create("class-loading"));
+      System.exit(0);
+    }
     String file = System.getenv(NodeFile.PATH_VARIABLE);
     if (file == null) {
       System.err.println(NodeFile.PATH_VARIABLE + ": must name the settings file");
