--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -23,6 +23,9 @@
 
   JobState state = JobState.QUEUED;
 
+  /** Whether its team had sent more than its rate when it came. */
+  boolean isExcess;
+
   /** Whether its submitter has cancelled it. */
   boolean cancelRequested;
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
@@ -8,8 +8,8 @@
  * Decides which jobs get workers first.
  *
  * <p>Tasks that last come first, since they serve all the time. Then come jobs that can still meet
- * their objective, the earliest deadline first; then late ones; a job so late that it is worth
- * nothing waits for all others.
+ * their objective, the earliest deadline first; then late ones; what a team sends beyond its rate,
+ * and jobs so late that they are worth nothing, wait for all others.
  */
 final class JobOrder {
   /** A job counts as late up to this multiple of its objective, and as lost beyond. */
@@ -18,7 +18,8 @@
   private static final int LASTING = 0;
   private static final int IN_TIME = 1;
   private static final int LATE = 2;
-  private static final int LOST = 3;
+  private static final int EXCESS = 3;
+  private static final int LOST = 4;
 
   /** How a job ranks; lower goes first. */
   record Rank(int group, double key) implements Comparable<Rank> {
@@ -46,6 +47,9 @@
     if (lasts) {
       return new Rank(LASTING, job.spec.acceptedMillis());
     }
+    if (job.isExcess) {
+      return new Rank(EXCESS, job.spec.acceptedMillis());
+    }
     double whole = chainMillis(job, queue.name(), false);
     double remaining = chainMillis(job, queue.name(), true);
     double objective = queue.slackFactor() * whole + queue.targetLatencyMillis();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/QueueBook.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/QueueBook.java
@@ -54,6 +54,14 @@
             Optional.empty());
   }
 
+  /** The weight of a team, which is also the jobs a second that it is owed; 0 if unknown. */
+  double weightOf(String team) {
+    return settings
+        .map(current -> current.teams().get(team))
+        .map(FleetSettings.TeamConfig::weight)
+        .orElse(0.0);
+  }
+
   /** The upper limit of a team; none for jobs of open queues. */
   Resources capOf(String team) {
     return settings
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -17,6 +17,7 @@
 import org.sassafraslink.api.fleet.MachinePort;
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
+import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.api.fleet.WorkerPort;
 import org.sassafraslink.api.log.EventLog;
@@ -65,6 +66,7 @@
   private final RunLists runLists;
   private final WaveStatus waveStatus;
   private final QueueBook queues = new QueueBook();
+  private final TeamRate teamRate = new TeamRate();
   private final DurationModel durations = new DurationModel();
 
   private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -302,6 +304,9 @@
     }
     TeamUse team = teams.computeIfAbsent(spec.get().team(), TeamUse::new);
     Job job = Job.create(spec.get(), team, clock.monotonicMillis());
+    job.isExcess =
+        teamRate.isExcess(
+            spec.get().team(), spec.get().acceptedMillis(), queues.weightOf(spec.get().team()));
     jobs.put(id, job);
     placementWanted = true;
     log.log(
@@ -312,6 +317,14 @@
         spec.get().queue(),
         "team",
         spec.get().team(),
+        "excess",
+        job.isExcess,
+        "lasting",
+        spec.get().steps().stream().filter(StepSpec::lasting).count(),
+        "backfill",
+        spec.get().steps().stream().filter(StepSpec::backfill).count(),
+        "serving",
+        spec.get().steps().stream().filter(StepSpec::serving).count(),
         "sinceAccepted",
         clock.wallMillis() - spec.get().acceptedMillis());
     return Optional.of(job);
@@ -393,6 +406,7 @@
     feed.reset();
     advice.reset();
     quarantine.reset();
+    teamRate.reset();
     pendingCounts.reset();
     finalRows.reset();
     waveStatus.reset();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
@@ -9,7 +9,7 @@
  *
  * <p>A task goes to the rack of its data; serving tasks and backfill keep apart; failures are not
  * repeated on the same worker. Among equals the fullest worker that fits is taken, so that others
- * become empty for maintenance and moves; serving tasks take the emptiest, to spread.
+ * become empty for maintenance, moves and power-off; a step spreads as far as it demands itself.
  */
 final class WorkerChoice {
   /** Penalties, each of which outweighs all below it. */
@@ -69,9 +69,7 @@
     } else if (task.step.serving()) {
       cost += worker.hasBackfill() ? DISTURBED : 0;
     }
-    double fill = 1 - freePart(worker);
-    boolean spreads = task.step.lasting();
-    return cost + FILL * (spreads ? fill : 1 - fill);
+    return cost + FILL * freePart(worker);
   }
 
   private static double freePart(Worker worker) {
--- /dev/null
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TeamRateTest.java
@@ -0,0 +1,34 @@
+package org.sassafraslink.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** {@link TeamRate}: what a team sends beyond its rate in any second is excess. */
+class TeamRateTest {
+  static Stream<Arguments> cases() {
+    return Stream.of(
+        Arguments.of("below the rate", 3, List.of(0, 400, 800), List.of()),
+        Arguments.of("a burst above it", 2, List.of(0, 1, 2, 3), List.of(2, 3)),
+        Arguments.of("the next second is free again", 2, List.of(0, 1, 2, 1_001), List.of(2)),
+        Arguments.of("excess does not use up the rate", 1, List.of(0, 900, 1_000), List.of(900)),
+        Arguments.of("no weight, no bound", 0, List.of(0, 0, 0), List.of()));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("cases")
+  void findsExcess(String name, int weight, List<Integer> accepted, List<Integer> excess) {
+    TeamRate rate = new TeamRate();
+    List<Integer> found =
+        IntStream.range(0, accepted.size())
+            .filter(i -> rate.isExcess("team", accepted.get(i), weight))
+            .mapToObj(accepted::get)
+            .toList();
+    assertEquals(excess, found, name);
+  }
+}
