Let the lease of a silent worker expire

Each request to a worker out of reach carried a longer lease, and might arrive late, so the lease was never known to have expired: tasks of a dark worker waited for its next incarnation. A silent worker gets no longer lease until it answers. Four weakened mechanisms are each caught now; without a weakness the same scenarios keep all promises.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Pacer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Pacer.java
@@ -59,7 +59,8 @@
     }
   }
 
-  private static int nextPercent(int current, double worst) {
+  /** The next share in percent, where the worst serving task is at this part of its target. */
+  static int nextPercent(int current, double worst) {
     if (worst > SLOW_ABOVE) {
       int half = current / 2;
       return half < SMALLEST_PERCENT ? 0 : half;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
@@ -189,7 +189,8 @@
     }
   }
 
-  private static int missing(Backlog.Waiting waiting, Resources capacity, Resources one) {
+  /** How many VMs of capacity {@code one} a pool lacks. */
+  static int missing(Backlog.Waiting waiting, Resources capacity, Resources one) {
     double cpu =
         part(waiting.need().cpuMillis() - SOON_FREE_PART * capacity.cpuMillis(), one.cpuMillis());
     double memory =
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -104,8 +104,16 @@
     silences = 0;
   }
 
-  /** The lease end to send now for a lease of {@code leaseMillis}, on the worker's clock. */
+  /**
+   * The lease end to send now for a lease of {@code leaseMillis}, on the worker's clock.
+   *
+   * <p>A silent worker gets no longer lease than it has: each request to it may yet arrive, so that
+   * its lease would never be known to have expired.
+   */
   long grantLease(long leaseMillis, long nowMillis) {
+    if (silences > 0) {
+      return leaseEndMillis;
+    }
     long end = clockMillis + (nowMillis - clockSeenMillis) + leaseMillis;
     leaseEndMillis = Math.max(leaseEndMillis, end);
     return end;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/FaultMatrixTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/FaultMatrixTest.java
@@ -159,6 +159,20 @@
                     .forEach(process -> process.ordersTo("w0", OrderFate.ANSWERED)));
       }
     },
+    WORKER_CUT_OFF_FOR_LONG {
+      @Override
+      void strike(SimFleet fleet, String node) {
+        String busiest = fleet.busiestWorker();
+        fleet.nodes.values().forEach(process -> process.ordersTo(busiest, OrderFate.LOST));
+        fleet.clock.after(
+            3 * FAULT_MILLIS,
+            () ->
+                fleet
+                    .nodes
+                    .values()
+                    .forEach(process -> process.ordersTo(busiest, OrderFate.ANSWERED)));
+      }
+    },
     WORKER_FAILS_ALL {
       @Override
       void strike(SimFleet fleet, String node) {
@@ -188,7 +202,7 @@
     }
   }
 
-  private static SimFleet busyFleet(long seed) {
+  static SimFleet busyFleet(long seed) {
     SimFleet fleet = SimFleet.start(seed, 3, 4);
     fleet.run(1_500);
     fleet.submit("a", SimFleet.step(6, 1_000), SimFleet.step(4, 2_000, 0));
--- /dev/null
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
@@ -0,0 +1,64 @@
+package org.sassafraslink.scheduler;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import org.sassafraslink.api.fleet.JobSpec;
+import org.sassafraslink.api.fleet.QueueConfig;
+import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.api.fleet.StepSpec;
+
+/** Jobs for tests of single rules. */
+final class TestJobs {
+  static final QueueConfig QUEUE =
+      new QueueConfig("queue", "host", "/q/", "pool", false, false, 3, 2, 600, Optional.empty());
+
+  private TestJobs() {}
+
+  /** What a step is, where it differs from a plain one. */
+  enum Trait {
+    PLAIN,
+    LASTING,
+    SERVING,
+    BACKFILL
+  }
+
+  static StepSpec step(int count, long cpu, long estimatedMillis, Trait trait, int maxPerWorker) {
+    return new StepSpec(
+        count,
+        new Resources(cpu, 1_000, 0),
+        estimatedMillis,
+        ImmutableList.of(),
+        false,
+        false,
+        "",
+        "",
+        maxPerWorker,
+        false,
+        false,
+        trait != Trait.PLAIN,
+        "",
+        trait == Trait.SERVING ? 100 : 0,
+        trait == Trait.BACKFILL,
+        0);
+  }
+
+  static Job accepted(long acceptedMillis, StepSpec... steps) {
+    JobSpec spec =
+        new JobSpec(
+            "job",
+            "queue",
+            "pool",
+            "team",
+            "",
+            ImmutableList.copyOf(steps),
+            0,
+            0,
+            0,
+            acceptedMillis);
+    return Job.create(spec, new TeamUse("team"), 0);
+  }
+
+  static Task first(Job job) {
+    return job.occurrences().get(0).get(0).get(0);
+  }
+}
--- /dev/null
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerChoiceTest.java
@@ -0,0 +1,92 @@
+package org.sassafraslink.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sassafraslink.scheduler.TestJobs.Trait;
+
+/** {@link WorkerChoice}: where a task starts, and which workers get none. */
+class WorkerChoiceTest {
+  private static final long NOW = 100_000;
+
+  private static void load(Worker worker, Trait trait, long cpu) {
+    Job other = TestJobs.accepted(0, TestJobs.step(1, cpu, 500, trait, 0));
+    TestJobs.first(other).assign(worker, 1, "");
+  }
+
+  static Stream<Arguments> choices() {
+    BiConsumer<Task, List<Worker>> nothing = (task, workers) -> {};
+    BiConsumer<Task, List<Worker>> secondFuller =
+        (task, workers) -> load(workers.get(1), Trait.PLAIN, 4_000);
+    BiConsumer<Task, List<Worker>> secondFull =
+        (task, workers) -> load(workers.get(1), Trait.PLAIN, 15_500);
+    BiConsumer<Task, List<Worker>> failedOnFirst =
+        (task, workers) -> task.failedOn.add(workers.get(0).entry.id());
+    BiConsumer<Task, List<Worker>> firstServes =
+        (task, workers) -> load(workers.get(0), Trait.SERVING, 4_000);
+    return Stream.of(
+        Arguments.of("equal workers", Trait.PLAIN, nothing, "w0"),
+        Arguments.of(
+            "the fuller one, so that others become empty", Trait.PLAIN, secondFuller, "w1"),
+        Arguments.of("not one without room", Trait.PLAIN, secondFull, "w0"),
+        Arguments.of("not where it has failed", Trait.PLAIN, failedOnFirst, "w1"),
+        Arguments.of("backfill not beside serving tasks", Trait.BACKFILL, firstServes, "w1"),
+        Arguments.of("a plain task beside serving ones", Trait.PLAIN, firstServes, "w0"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("choices")
+  void chooses(String name, Trait trait, BiConsumer<Task, List<Worker>> change, String expected) {
+    Task task = TestJobs.first(TestJobs.accepted(0, TestJobs.step(1, 1_000, 500, trait, 0)));
+    List<Worker> workers = List.of(TestWorkers.named("w0"), TestWorkers.named("w1"));
+    change.accept(task, workers);
+    assertEquals(
+        Optional.of(expected),
+        WorkerChoice.choose(task, workers).map(worker -> worker.entry.id()),
+        name);
+  }
+
+  @ParameterizedTest
+  @MethodSource("spreads")
+  void spreadsAsFarAsTheStepDemands(int maxPerWorker, boolean fits) {
+    Job job = TestJobs.accepted(0, TestJobs.step(2, 1_000, 500, Trait.PLAIN, maxPerWorker));
+    Worker worker = TestWorkers.named("w0");
+    TestJobs.first(job).assign(worker, 1, "");
+    assertEquals(fits, WorkerChoice.fits(job.occurrences().get(0).get(0).get(1), worker));
+  }
+
+  static Stream<Arguments> spreads() {
+    return Stream.of(Arguments.of(0, true), Arguments.of(1, false), Arguments.of(2, true));
+  }
+
+  static Stream<Arguments> usable() {
+    Consumer<Worker> nothing = worker -> {};
+    Consumer<Worker> unlisted = worker -> worker.listed = false;
+    Consumer<Worker> unknown = worker -> worker.known = false;
+    Consumer<Worker> cordoned = worker -> worker.cordon = "wave 1";
+    Consumer<Worker> silent = worker -> worker.silences = 1;
+    Consumer<Worker> avoided = worker -> worker.avoidUntilMillis = NOW + 1;
+    return Stream.of(
+        Arguments.of("listed and known", nothing, true),
+        Arguments.of("not listed", unlisted, false),
+        Arguments.of("has not answered under this token", unknown, false),
+        Arguments.of("cordoned", cordoned, false),
+        Arguments.of("silent", silent, false),
+        Arguments.of("refused something just now", avoided, false));
+  }
+
+  @ParameterizedTest(name = "{0}: {2}")
+  @MethodSource("usable")
+  void givesTasksOnlyToUsableWorkers(String name, Consumer<Worker> change, boolean expected) {
+    Worker worker = TestWorkers.named("w0");
+    change.accept(worker);
+    assertEquals(expected, WorkerChoice.isUsable(worker, NOW), name);
+  }
+}
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRows.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRows.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
@@ -81,8 +82,8 @@
   }
 
   /** The store as a node reaches it. */
-  public RowStore viewOf(String node) {
-    return new View(node);
+  public RowStore viewOf(String node, Set<Weakness> weaknesses) {
+    return new View(node, weaknesses);
   }
 
   private static String index(RowStore.RowKey key) {
@@ -126,9 +127,11 @@
 
   private final class View implements RowStore {
     private final String node;
+    private final Set<Weakness> weaknesses;
 
-    View(String node) {
+    View(String node, Set<Weakness> weaknesses) {
       this.node = node;
+      this.weaknesses = weaknesses;
     }
 
     private Treatment treatment() {
@@ -136,7 +139,8 @@
     }
 
     @Override
-    public void change(Change change, Consumer<Outcome> done) {
+    public void change(Change asked, Consumer<Outcome> done) {
+      Change change = weaknesses.contains(Weakness.COMMITS_UNCHECKED) ? unchecked(asked) : asked;
       switch (treatment()) {
         case SERVES ->
             clock.after(
@@ -166,6 +170,16 @@
       }
     }
 
+    /** The change of a scheduler without its checks. */
+    private static Change unchecked(Change change) {
+      boolean isTakeover =
+          change.puts().stream().anyMatch(put -> put.key().table().equals("control"));
+      if (isTakeover) {
+        return change;
+      }
+      return new Change(ImmutableList.of(), change.puts(), change.removals());
+    }
+
     @Override
     public void read(Range range, Consumer<Either<CallFailure, Rows>> done) {
       whenReached(
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.Resources;
@@ -53,6 +54,7 @@
   private final Plan plan;
   private final Promises promises;
   private final Resources capacity;
+  private final Set<Weakness> weaknesses;
   private final long bornMillis;
   private final Map<TaskId, Run> running = new LinkedHashMap<>();
   private final Map<TaskId, Integer> highestOver = new HashMap<>();
@@ -67,13 +69,15 @@
       SimClock clock,
       Plan plan,
       Promises promises,
-      Resources capacity) {
+      Resources capacity,
+      Set<Weakness> weaknesses) {
     this.id = id;
     this.incarnation = incarnation;
     this.clock = clock;
     this.plan = plan;
     this.promises = promises;
     this.capacity = capacity;
+    this.weaknesses = weaknesses;
     this.bornMillis = clock.now();
     watchLease();
   }
@@ -83,7 +87,8 @@
   }
 
   private void watchLease() {
-    if (!running.isEmpty() && clockMillis() > leaseEnd) {
+    boolean expires = !weaknesses.contains(Weakness.LEASES_NEVER_EXPIRE);
+    if (expires && !running.isEmpty() && clockMillis() > leaseEnd) {
       new ArrayList<>(running.values()).forEach(run -> end(run, EndKind.LEASE_EXPIRED));
       promises.onLeaseExpired(this, ended);
     }
@@ -92,15 +97,19 @@
     }
   }
 
+  private boolean isFenced(long given) {
+    return given < token && !weaknesses.contains(Weakness.TOKENS_IGNORED);
+  }
+
   private void grant(long end) {
     leaseEnd = Math.max(leaseEnd, Math.min(end, clockMillis() + MAX_LEASE_MILLIS));
   }
 
   Either<CallFailure, TaskReply> start(Start start) {
-    if (start.fencingToken() < token) {
+    if (isFenced(start.fencingToken())) {
       return Either.right(TaskReply.FENCED);
     }
-    token = start.fencingToken();
+    token = Math.max(token, start.fencingToken());
     if (start.leaseEndMillis() < clockMillis()) {
       return Either.right(TaskReply.TOO_LATE);
     }
@@ -133,10 +142,10 @@
   }
 
   Either<CallFailure, TaskReply> stop(TaskId task, int attempt, long fencingToken) {
-    if (fencingToken < token) {
+    if (isFenced(fencingToken)) {
       return Either.right(TaskReply.FENCED);
     }
-    token = fencingToken;
+    token = Math.max(token, fencingToken);
     highestOver.merge(task, attempt, Math::max);
     Run run = running.get(task);
     if (run != null && run.attempt <= attempt) {
@@ -146,11 +155,11 @@
   }
 
   void hold(Hold hold, Consumer<Either<CallFailure, RunReport>> done) {
-    if (hold.fencingToken() < token) {
+    if (isFenced(hold.fencingToken())) {
       done.accept(Either.left(CallFailure.REJECTED));
       return;
     }
-    token = hold.fencingToken();
+    token = Math.max(token, hold.fencingToken());
     hold.leaseEndMillis().ifPresent(this::grant);
     promises.onAcknowledged(this, ended, hold.acknowledged());
     ended.removeIf(end -> end.sequence() <= hold.acknowledged());
@@ -162,6 +171,10 @@
       clock.after(waitMillis, () -> done.accept(Either.left(CallFailure.OUTCOME_UNKNOWN)));
     } else if (waitMillis <= 0 || !ended.isEmpty()) {
       done.accept(Either.right(report()));
+      if (weaknesses.contains(Weakness.ENDS_FORGOTTEN_ONCE_LISTED)) {
+        promises.onAcknowledged(this, ended, ends);
+        ended.clear();
+      }
     } else {
       clock.after(10, () -> answer(waitMillis - 10, done));
     }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -5,11 +5,14 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.failure.FailureType;
 import org.sassafraslink.api.fleet.FleetSettings;
@@ -48,6 +51,8 @@
   public final Map<String, SimNode> nodes = new LinkedHashMap<>();
   final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final Map<String, JobSpec> jobs = new LinkedHashMap<>();
+  private long slowness = 1;
+  final Set<Weakness> weaknesses = EnumSet.noneOf(Weakness.class);
   private long incarnations = 1_700_000_000_000L;
 
   /** Tasks that fail on every worker, and workers that fail every task. */
@@ -75,6 +80,16 @@
     return fleet;
   }
 
+  /** Makes all tasks take this many times as long. */
+  public void slowTasks(long factor) {
+    slowness = factor;
+  }
+
+  /** Takes a mechanism away. */
+  public void weaken(Weakness weakness) {
+    weaknesses.add(weakness);
+  }
+
   /** Starts a process on a node, in place of the one it had. */
   public void startNode(String name) {
     stopNode(name);
@@ -98,7 +113,8 @@
       old.crash();
     }
     incarnations += 1_000;
-    FakeWorker worker = new FakeWorker(id, incarnations, clock, new WorkPlan(), promises, CAPACITY);
+    FakeWorker worker =
+        new FakeWorker(id, incarnations, clock, new WorkPlan(), promises, CAPACITY, weaknesses);
     workers.put(id, worker);
     rows.put(WORKER_TABLE, "", id, Long.toString(incarnations));
   }
@@ -114,6 +130,14 @@
         });
   }
 
+  /** The worker that runs the most. */
+  public String busiestWorker() {
+    return workers.values().stream()
+        .max(Comparator.comparingInt(FakeWorker::runningCount))
+        .orElseThrow()
+        .id;
+  }
+
   /** The name of the node that schedules; empty if none does. */
   public Optional<String> schedulingNode() {
     return nodes.values().stream()
@@ -238,7 +262,7 @@
   private final class WorkPlan implements FakeWorker.Plan {
     @Override
     public long runMillis(TaskId task, int attempt) {
-      return 200L + Math.floorMod(task.hashCode() + 31 * attempt, 700);
+      return slowness * (200L + Math.floorMod(task.hashCode() + 31 * attempt, 700));
     }
 
     @Override
@@ -259,6 +283,6 @@
 
   /** The store that nodes reach. */
   RowStore storeOf(String node) {
-    return rows.viewOf(node);
+    return rows.viewOf(node, weaknesses);
   }
 }
