--- a/entry/src/main/java/org/sassafraslink/entry/connection/CallerConnection.java
+++ b/entry/src/main/java/org/sassafraslink/entry/connection/CallerConnection.java
@@ -20,6 +20,7 @@
 import org.sassafraslink.api.failure.FailureType;
 import org.sassafraslink.entry.request.CallerAnswer;
 import org.sassafraslink.entry.request.CallerRequest;
+import org.sassafraslink.platform.fleet.CallerHeaders;
 
 /**
  * One connection of a caller: whole requests are answered one after the other, in their order.
@@ -34,9 +35,6 @@
   /** Longest wait that a caller may ask for, in ms. */
   private static final long MAX_DEADLINE_MILLIS = 120_000;
 
-  private static final String DEADLINE = "X-Sassafraslink-Deadline-Ms";
-  private static final String BEARER = "Bearer ";
-
   private final CallerServer server;
   private final Deque<FullHttpRequest> decodedAhead = new ArrayDeque<>();
   private ChannelHandlerContext context;
@@ -129,9 +127,14 @@
         request.method().name(),
         port < 0 ? host : host.substring(0, port),
         query < 0 ? uri : uri.substring(0, query),
-        authorization.startsWith(BEARER) ? authorization.substring(BEARER.length()) : "",
+        keyOf(authorization),
         request.content().toString(StandardCharsets.UTF_8),
-        server.clock().monotonicMillis() + deadlineMillis(headers.get(DEADLINE)));
+        server.clock().monotonicMillis() + deadlineMillis(headers.get(CallerHeaders.DEADLINE)));
+  }
+
+  private static String keyOf(String authorization) {
+    String scheme = CallerHeaders.KEY_SCHEME;
+    return authorization.startsWith(scheme) ? authorization.substring(scheme.length()) : "";
   }
 
   private static long deadlineMillis(String header) {
