Refuse submissions at once while the store fails; call the platform last at a start

A failed poll now shows at once that the store is out of reach, and jobs are refused with 503 before anything is sent; reads that fail are answered 503 too.

--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatch.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatch.java
@@ -94,16 +94,18 @@
     return nowMillis - answeredMillis;
   }
 
-  /** Whether the store seems out of reach. */
+  /** Whether the store seems out of reach: its last answer failed, or is long ago. */
   public boolean isStoreSilent(long nowMillis) {
-    return ageMillis(nowMillis) > SILENT_MILLIS;
+    return silent || ageMillis(nowMillis) > SILENT_MILLIS;
   }
 
   private void next() {
     if (feedVersion < 0) {
       store.read(new Range(OperatorRows.TABLE, "", "", ""), this::onAnswer);
     } else {
-      store.changes(OperatorRows.TABLE, feedVersion, WAIT_MILLIS, this::onAnswer);
+      // After a failure any answer is wanted, to know that the store is back.
+      int waitMillis = silent ? 0 : WAIT_MILLIS;
+      store.changes(OperatorRows.TABLE, feedVersion, waitMillis, this::onAnswer);
     }
   }
 
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -86,14 +86,18 @@
     callers = CallerServer.create(calls::handle, clock, MAX_CONNECTIONS);
   }
 
-  /** Starts all parts; listens last. */
+  /**
+   * Starts all parts. The first calls to the platform are made last: the platform's runtime
+   * rewrites a place that makes system calls when it is used often, and a thread that waits in it
+   * meanwhile is lost, so that the main thread should have done its reading of files by then.
+   */
   public static EntryNode start(NodeSettings settings, EventLog log, String process) {
     EntryNode node = new EntryNode(settings, log, process);
-    node.group.next().execute(node.config::start);
-    node.schedulerThread.start(node.scheduler);
     node.peers.listen(node.group, settings.peers());
     node.callers.listen(node.group, settings.callers());
     StatusServer.create(node::isReady).listen(node.group, settings.readiness());
+    node.schedulerThread.start(node.scheduler);
+    node.group.next().execute(node.config::start);
     log.log("process.started", "process", process, "uptime", upMillis());
     return node;
   }
--- a/entry/src/main/java/org/sassafraslink/entry/request/JobCalls.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/JobCalls.java
@@ -149,7 +149,7 @@
         JobRows.rangeOf(id),
         answer -> {
           if (answer.isLeft()) {
-            done.accept(storeFailure(answer.getLeft()));
+            done.accept(unread());
             return;
           }
           Optional<JobState> state = JobRows.state(answer.get().rows());
@@ -235,7 +235,7 @@
         new Range(key.table(), key.part(), key.key(), key.key() + '\0'),
         answer -> {
           if (answer.isLeft()) {
-            done.accept(storeFailure(answer.getLeft()));
+            done.accept(unread());
             return;
           }
           counts = answer.get().rows().isEmpty() ? "{}" : answer.get().rows().get(0).value();
@@ -268,6 +268,11 @@
             : CallerAnswer.failed(Failure.of(type, detail)));
   }
 
+  /** A read that failed has changed nothing. */
+  private static CallerAnswer unread() {
+    return unavailable(FailureType.STORE_UNAVAILABLE, "The store does not answer.");
+  }
+
   private static CallerAnswer storeFailure(CallFailure failure) {
     return failure == CallFailure.NOT_PERFORMED
         ? unavailable(FailureType.STORE_UNAVAILABLE, "The store does not answer.")
