Say at once that a submission's outcome is unknown when the store answers nothing

The desk now knows whether the store answers any call, gives up at once when it does not, looks at waiting submissions by a timer, and has three transactions under way, so that one without an answer does not hold up all. A slow store alone is no reason to refuse. SubmissionDeskTest was red for the silent store.

--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatch.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatch.java
@@ -10,13 +10,13 @@
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
-import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.RowStore.Range;
 import org.sassafraslink.api.fleet.RowStore.Rows;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.platform.fleet.OperatorRows;
+import org.sassafraslink.scheduler.AnsweredStore;
 
 /**
  * Follows what the operator writes: the configuration, which never goes back, and waves.
@@ -31,12 +31,12 @@
   private static final int RETRY_MILLIS = 100;
 
   /**
-   * A store that has not answered for this long is taken as out of reach, in ms: one long poll, and
-   * a slow answer.
+   * A store that has not answered any call for this long is taken as out of reach, in ms: the
+   * scheduler's renewals alone bring an answer every 0.6 s, and a slow store takes 0.6 s.
    */
-  private static final long SILENT_MILLIS = 1_600;
+  private static final long SILENT_MILLIS = 1_250;
 
-  private final RowStore store;
+  private final AnsweredStore store;
   private final FleetClock clock;
   private final EventLog log;
   private final BiConsumer<Runnable, Integer> later;
@@ -49,7 +49,7 @@
   private boolean silent;
 
   private ConfigWatch(
-      RowStore store,
+      AnsweredStore store,
       FleetClock clock,
       EventLog log,
       BiConsumer<Runnable, Integer> later,
@@ -69,7 +69,7 @@
    * @param later runs a task on the watch's thread after a number of ms
    */
   public static ConfigWatch create(
-      RowStore store,
+      AnsweredStore store,
       FleetClock clock,
       EventLog log,
       BiConsumer<Runnable, Integer> later,
@@ -96,7 +96,7 @@
 
   /** Whether the store seems out of reach: its last answer failed, or is long ago. */
   public boolean isStoreSilent(long nowMillis) {
-    return silent || ageMillis(nowMillis) > SILENT_MILLIS;
+    return silent || nowMillis - store.answeredMillis() > SILENT_MILLIS;
   }
 
   private void next() {
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -9,7 +9,6 @@
 import java.util.function.BiConsumer;
 import org.sassafraslink.api.fleet.AdvicePort;
 import org.sassafraslink.api.fleet.NodeSettings;
-import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.entry.connection.CallerServer;
 import org.sassafraslink.entry.connection.StatusServer;
@@ -20,6 +19,7 @@
 import org.sassafraslink.platform.fleet.FleetRowStore;
 import org.sassafraslink.platform.fleet.FleetWorkers;
 import org.sassafraslink.platform.fleet.HttpCaller;
+import org.sassafraslink.scheduler.AnsweredStore;
 import org.sassafraslink.scheduler.Scheduler;
 import org.sassafraslink.scheduler.SchedulerSettings;
 
@@ -55,7 +55,7 @@
     BiConsumer<Runnable, Integer> later =
         (task, millis) -> loop.schedule(task, millis, TimeUnit.MILLISECONDS);
     HttpCaller http = HttpCaller.on(loop);
-    RowStore store = FleetRowStore.at(settings.store(), http);
+    AnsweredStore store = new AnsweredStore(FleetRowStore.at(settings.store(), http), clock);
     schedulerThread = new SchedulerThread(log);
     Optional<AdvicePort> advice =
         settings
@@ -81,7 +81,9 @@
             later,
             newest -> schedulerThread.execute(() -> scheduler.onConfig(newest)),
             waves -> schedulerThread.execute(() -> scheduler.onWaves(waves)));
-    SubmissionDesk desk = SubmissionDesk.create(store, clock, log, later);
+    SubmissionDesk desk =
+        SubmissionDesk.create(
+            store, clock, log, later, () -> config.isStoreSilent(clock.monotonicMillis()));
     JobCalls calls = JobCalls.create(config, store, desk, clock, log);
     callers = CallerServer.create(calls::handle, clock, MAX_CONNECTIONS);
   }
--- a/entry/src/main/java/org/sassafraslink/entry/request/SubmissionDesk.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionDesk.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.failure.FailureType;
@@ -29,8 +30,9 @@
  *
  * <p>Submissions that wait together share a transaction, which inserts each only if its id is new;
  * a known id is answered as accepted, since it is the same job. A job is refused only while no
- * insert of it can have been applied or still be applied; after an insert without an answer, the
- * same insert is repeated, and if the store cannot tell in time, the outcome is unknown.
+ * insert of it can have been applied or still be applied. After an insert without an answer the
+ * same insert is repeated while the store answers other calls; when it answers none, or when the
+ * caller's time is up, the outcome is said to be unknown.
  *
  * <p>Confined to one thread.
  */
@@ -38,9 +40,12 @@
   /** Submissions in one transaction; each takes three entries of the platform's 100. */
   private static final int BATCH = 30;
 
-  /** How long a job that is certainly not stored may wait for the store, in ms. */
+  /** How long a job that is certainly not stored may wait for a store that fails, in ms. */
   private static final long REFUSE_MILLIS = 140;
 
+  /** Transactions under way at once, so that one without an answer does not hold up all. */
+  private static final int MAX_IN_FLIGHT = 3;
+
   /** Pause after a failed transaction, in ms. */
   private static final int RETRY_MILLIS = 60;
 
@@ -80,24 +85,37 @@
   private final EventLog log;
   private final BiConsumer<Runnable, Integer> later;
   private final Deque<Submission> waiting = new ArrayDeque<>();
-  private boolean pending;
+  private final BooleanSupplier storeSilent;
+  private int inFlight;
+  private boolean failing;
+  private boolean checkPending;
 
   private SubmissionDesk(
-      RowStore store, FleetClock clock, EventLog log, BiConsumer<Runnable, Integer> later) {
+      RowStore store,
+      FleetClock clock,
+      EventLog log,
+      BiConsumer<Runnable, Integer> later,
+      BooleanSupplier storeSilent) {
     this.store = store;
     this.clock = clock;
     this.log = log;
     this.later = later;
+    this.storeSilent = storeSilent;
   }
 
   /**
    * A desk that inserts into {@code store}.
    *
    * @param later runs a task on the desk's thread after a number of ms
+   * @param storeSilent whether the store answers no call at all
    */
   public static SubmissionDesk create(
-      RowStore store, FleetClock clock, EventLog log, BiConsumer<Runnable, Integer> later) {
-    return new SubmissionDesk(store, clock, log, later);
+      RowStore store,
+      FleetClock clock,
+      EventLog log,
+      BiConsumer<Runnable, Integer> later,
+      BooleanSupplier storeSilent) {
+    return new SubmissionDesk(store, clock, log, later, storeSilent);
   }
 
   /** Stores a job; {@code done} hears the answer to its caller. */
@@ -112,10 +130,11 @@
   }
 
   private void pump() {
-    if (pending) {
+    giveUpOverdue();
+    if (inFlight >= MAX_IN_FLIGHT) {
+      checkLater();
       return;
     }
-    giveUpOverdue();
     List<Submission> batch = new ArrayList<>();
     Set<String> ids = new HashSet<>();
     Deque<Submission> postponed = new ArrayDeque<>();
@@ -132,11 +151,11 @@
     if (batch.isEmpty()) {
       return;
     }
-    pending = true;
+    inFlight++;
     store.change(
         insert(batch),
         outcome -> {
-          pending = false;
+          inFlight--;
           onOutcome(outcome, batch);
         });
   }
@@ -154,7 +173,21 @@
     return new Change(expectations.build(), puts.build(), ImmutableList.of());
   }
 
+  /** Looks again at those that wait, since no answer may come to do so. */
+  private void checkLater() {
+    if (!checkPending && !waiting.isEmpty()) {
+      checkPending = true;
+      later.accept(
+          () -> {
+            checkPending = false;
+            pump();
+          },
+          RETRY_MILLIS);
+    }
+  }
+
   private void onOutcome(Outcome outcome, List<Submission> batch) {
+    failing = outcome instanceof Outcome.Failed;
     if (outcome instanceof Outcome.Committed) {
       batch.forEach(submission -> answer(submission, CallerAnswer.ok(), "stored"));
       pump();
@@ -188,9 +221,7 @@
     }
     log.log("submissions.not_stored", "failure", failure, "jobs", batch.size());
     giveUpOverdue();
-    if (!waiting.isEmpty()) {
-      later.accept(this::pump, RETRY_MILLIS);
-    }
+    checkLater();
   }
 
   private void giveUpOverdue() {
@@ -198,7 +229,9 @@
     waiting.removeIf(
         submission -> {
           if (submission.uncertain) {
-            boolean isOver = now >= submission.deadlineMillis - ANSWER_MARGIN_MILLIS;
+            boolean isOver =
+                storeSilent.getAsBoolean()
+                    || now >= submission.deadlineMillis - ANSWER_MARGIN_MILLIS;
             if (isOver) {
               answer(
                   submission,
@@ -211,7 +244,8 @@
             return isOver;
           }
           boolean isOver =
-              now - submission.receivedMillis >= REFUSE_MILLIS
+              (now - submission.receivedMillis >= REFUSE_MILLIS
+                      && (failing || storeSilent.getAsBoolean()))
                   || now >= submission.deadlineMillis - ANSWER_MARGIN_MILLIS;
           if (isOver) {
             answer(
--- a/entry/src/test/java/org/sassafraslink/entry/process/ConfigWatchTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/process/ConfigWatchTest.java
@@ -17,6 +17,7 @@
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.AnsweredStore;
 
 /** {@link ConfigWatch}: versions never go back, and a store that fails is known at once. */
 class ConfigWatchTest {
@@ -63,7 +64,7 @@
   void start() {
     watch =
         ConfigWatch.create(
-            new OpenStore(),
+            new AnsweredStore(new OpenStore(), new TestClock()),
             new TestClock(),
             EventLog.silent(),
             (task, millis) -> retry = task,
--- a/entry/src/test/java/org/sassafraslink/entry/request/SubmissionDeskTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/SubmissionDeskTest.java
@@ -24,12 +24,14 @@
   private static final int DEADLINE_MILLIS = 3_000;
 
   private long nowMillis = 10_000;
+  private boolean silent;
   private final Deque<RowStore.Outcome> outcomes = new ArrayDeque<>();
   private final List<RowStore.Change> changes = new ArrayList<>();
   private final List<Integer> answers = new ArrayList<>();
 
   private final SubmissionDesk desk =
-      SubmissionDesk.create(new ScriptedStore(), new TestClock(), EventLog.silent(), this::later);
+      SubmissionDesk.create(
+          new ScriptedStore(), new TestClock(), EventLog.silent(), this::later, () -> silent);
 
   private final class TestClock implements FleetClock {
     @Override
@@ -116,6 +118,16 @@
     assertEquals(List.of(504), answers);
   }
 
+  @Test
+  void saysAtOnceThatTheOutcomeIsUnknownWhenTheStoreAnswersNothing() {
+    outcomes.add(failed(CallFailure.OUTCOME_UNKNOWN));
+    silent = true;
+    long start = nowMillis;
+    submit("a");
+    assertEquals(List.of(504), answers);
+    assertEquals(start, nowMillis);
+  }
+
   @Test
   void findsThatALostInsertWasApplied() {
     outcomes.add(failed(CallFailure.OUTCOME_UNKNOWN));
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/AnsweredStore.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/AnsweredStore.java
@@ -7,19 +7,22 @@
 import org.sassafraslink.api.fleet.RowStore;
 
 /** Rows, and when they last answered. */
-final class AnsweredStore implements RowStore {
+public final class AnsweredStore implements RowStore {
   private final RowStore store;
   private final FleetClock clock;
-  private long answeredMillis;
 
-  AnsweredStore(RowStore store, FleetClock clock) {
+  /** Read by other threads than the one that makes the calls. */
+  private volatile long answeredMillis;
+
+  /** Rows that have just answered, as far as known. */
+  public AnsweredStore(RowStore store, FleetClock clock) {
     this.store = store;
     this.clock = clock;
     this.answeredMillis = clock.monotonicMillis();
   }
 
   /** When the store last answered any call, monotonic ms. */
-  long answeredMillis() {
+  public long answeredMillis() {
     return answeredMillis;
   }
 
