Remember submitted ids, so that a repeated request is not refused falsely

The desk remembers the last 10,000 ids: accepted ones are answered 200, uncertain ones 504. SubmissionDeskTest was red for both.

--- a/entry/src/main/java/org/sassafraslink/entry/request/CallerAnswer.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/CallerAnswer.java
@@ -12,6 +12,11 @@
   private static final int OK = 200;
   private static final int GONE = 410;
 
+  /** Whether the request was carried out. */
+  boolean isSuccess() {
+    return status == OK;
+  }
+
   /** Success without a body. */
   public static CallerAnswer ok() {
     return new CallerAnswer(OK, "", 0);
--- a/entry/src/main/java/org/sassafraslink/entry/request/JobCalls.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/JobCalls.java
@@ -136,9 +136,6 @@
     if (job.isLeft()) {
       log.log("job.malformed", "job", id, "detail", job.getLeft().detail());
       done.accept(CallerAnswer.failed(job.getLeft()));
-    } else if (config.isStoreSilent(clock.monotonicMillis())) {
-      log.log("job.submitted", "job", id, "outcome", "refused", "reason", "store_silent");
-      done.accept(unavailable(FailureType.STORE_UNAVAILABLE, "The store does not answer."));
     } else {
       desk.submit(id, JobBodies.encode(job.get(), request.body()), request.deadlineMillis(), done);
     }
--- a/entry/src/main/java/org/sassafraslink/entry/request/SubmissionDesk.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionDesk.java
@@ -5,7 +5,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
@@ -55,6 +57,15 @@
   /** When a refused caller may come again, in seconds. */
   private static final int RETRY_AFTER_SECONDS = 1;
 
+  /** Ids whose outcome is remembered, for callers that repeat them. */
+  private static final int REMEMBERED = 10_000;
+
+  /** What this process knows of a job that was submitted to it. */
+  private enum Memory {
+    ACCEPTED,
+    UNCERTAIN
+  }
+
   /** A job on its way into the store. */
   private static final class Submission {
     private final String job;
@@ -87,6 +98,13 @@
   private final Deque<Submission> waiting = new ArrayDeque<>();
   private final BooleanSupplier storeSilent;
   private int inFlight;
+  private final Map<String, Memory> remembered =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Memory> eldest) {
+          return size() > REMEMBERED;
+        }
+      };
   private boolean failing;
   private boolean checkPending;
 
@@ -118,8 +136,29 @@
     return new SubmissionDesk(store, clock, log, later, storeSilent);
   }
 
-  /** Stores a job; {@code done} hears the answer to its caller. */
+  /**
+   * Stores a job; {@code done} hears the answer to its caller. While the store is silent nothing is
+   * sent: a job is refused unless an earlier request for it was accepted or is uncertain.
+   */
   public void submit(String job, String row, long deadlineMillis, Consumer<CallerAnswer> done) {
+    Memory memory = remembered.get(job);
+    if (memory == Memory.ACCEPTED) {
+      done.accept(CallerAnswer.ok());
+      return;
+    }
+    if (storeSilent.getAsBoolean()) {
+      boolean isUncertain = memory == Memory.UNCERTAIN;
+      log.log(
+          "job.submitted",
+          "job",
+          job,
+          "outcome",
+          isUncertain ? "unknown" : "refused",
+          "reason",
+          "store_silent");
+      done.accept(isUncertain ? unknown() : refused());
+      return;
+    }
     waiting.add(new Submission(job, row, clock.monotonicMillis(), deadlineMillis, done));
     pump();
   }
@@ -233,13 +272,7 @@
                 storeSilent.getAsBoolean()
                     || now >= submission.deadlineMillis - ANSWER_MARGIN_MILLIS;
             if (isOver) {
-              answer(
-                  submission,
-                  CallerAnswer.failed(
-                      Failure.of(
-                          FailureType.STORE_OUTCOME_UNKNOWN,
-                          "The store has not told whether the job is stored.")),
-                  "unknown");
+              answer(submission, unknown(), "unknown");
             }
             return isOver;
           }
@@ -248,18 +281,30 @@
                       && (failing || storeSilent.getAsBoolean()))
                   || now >= submission.deadlineMillis - ANSWER_MARGIN_MILLIS;
           if (isOver) {
-            answer(
-                submission,
-                CallerAnswer.failed(
-                    Failure.of(FailureType.STORE_UNAVAILABLE, "The job is not stored."),
-                    RETRY_AFTER_SECONDS),
-                "refused");
+            answer(submission, refused(), "refused");
           }
           return isOver;
         });
   }
 
+  private static CallerAnswer unknown() {
+    return CallerAnswer.failed(
+        Failure.of(
+            FailureType.STORE_OUTCOME_UNKNOWN,
+            "The store has not told whether the job is stored."));
+  }
+
+  private static CallerAnswer refused() {
+    return CallerAnswer.failed(
+        Failure.of(FailureType.STORE_UNAVAILABLE, "The job is not stored."), RETRY_AFTER_SECONDS);
+  }
+
   private void answer(Submission submission, CallerAnswer answer, String outcome) {
+    if (answer.isSuccess()) {
+      remembered.put(submission.job, Memory.ACCEPTED);
+    } else if (submission.uncertain) {
+      remembered.put(submission.job, Memory.UNCERTAIN);
+    }
     log.log(
         "job.submitted",
         "job",
--- a/entry/src/test/java/org/sassafraslink/entry/request/SubmissionDeskTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/SubmissionDeskTest.java
@@ -25,6 +25,10 @@
 
   private long nowMillis = 10_000;
   private boolean silent;
+
+  /** Whether the store falls silent with its next answer. */
+  private boolean fallsSilent;
+
   private final Deque<RowStore.Outcome> outcomes = new ArrayDeque<>();
   private final List<RowStore.Change> changes = new ArrayList<>();
   private final List<Integer> answers = new ArrayList<>();
@@ -50,6 +54,7 @@
     @Override
     public void change(Change change, Consumer<Outcome> done) {
       changes.add(change);
+      silent |= fallsSilent;
       done.accept(outcomes.size() > 1 ? outcomes.poll() : outcomes.peek());
     }
 
@@ -121,13 +126,39 @@
   @Test
   void saysAtOnceThatTheOutcomeIsUnknownWhenTheStoreAnswersNothing() {
     outcomes.add(failed(CallFailure.OUTCOME_UNKNOWN));
-    silent = true;
     long start = nowMillis;
+    fallsSilent = true;
     submit("a");
     assertEquals(List.of(504), answers);
     assertEquals(start, nowMillis);
   }
 
+  @Test
+  void sendsNothingWhileTheStoreIsSilent() {
+    silent = true;
+    submit("a");
+    assertEquals(List.of(503), answers);
+    assertEquals(List.of(), changes);
+  }
+
+  @Test
+  void neverRefusesWhatItHasAcceptedBefore() {
+    outcomes.add(new RowStore.Outcome.Committed(7));
+    submit("a");
+    silent = true;
+    submit("a");
+    assertEquals(List.of(200, 200), answers);
+  }
+
+  @Test
+  void neverRefusesWhatIsUncertainFromBefore() {
+    outcomes.add(failed(CallFailure.OUTCOME_UNKNOWN));
+    fallsSilent = true;
+    submit("a");
+    submit("a");
+    assertEquals(List.of(504, 504), answers);
+  }
+
   @Test
   void findsThatALostInsertWasApplied() {
     outcomes.add(failed(CallFailure.OUTCOME_UNKNOWN));
