Split the book of jobs from the scheduler; take jobs over in the order of their acceptance

After a change of scheduler, jobs were taken over in the order of their ids, so that a team's jobs could count as beyond its rate by mistake.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -1,27 +1,18 @@
 package org.sassafraslink.scheduler;
 
 import com.google.common.collect.ImmutableList;
-import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
-import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.fleet.AdvicePort;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
-import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.MachinePort;
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
-import org.sassafraslink.api.fleet.StepSpec;
+import org.sassafraslink.api.fleet.RunReport;
 import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.api.fleet.WorkerPort;
 import org.sassafraslink.api.log.EventLog;
-import org.sassafraslink.scheduler.JobRows.Kind;
 
 /**
  * Schedules all jobs while this process holds the scheduling lease.
@@ -48,7 +39,7 @@
   private final FleetClock clock;
   private final EventLog log;
   private final SchedulerSettings settings;
-  private final RowFormats formats;
+  private final JobBook jobs;
   private final SchedulerLease lease;
   private final WorkerRegistry workers;
   private final JobFeed feed;
@@ -66,18 +57,14 @@
   private final RunLists runLists;
   private final WaveStatus waveStatus;
   private final QueueBook queues = new QueueBook();
-  private final TeamRate teamRate = new TeamRate();
   private final DurationModel durations = new DurationModel();
 
-  private final Map<String, Job> jobs = new LinkedHashMap<>();
-  private final Map<String, TeamUse> teams = new TreeMap<>();
   private ImmutableList<Wave> waves = ImmutableList.of();
   private ImmutableList<StoredRow> loadedRows = ImmutableList.of();
 
   /** Whether the jobs of the rows are taken over. */
   private boolean active;
 
-  private boolean placementWanted;
   private long placedMillis;
   private long acquiredMillis;
 
@@ -94,13 +81,26 @@
     this.clock = clock;
     this.log = log;
     this.settings = settings;
-    this.formats = formats;
     AnsweredStore answered = new AnsweredStore(store, clock);
     this.lease = new SchedulerLease(answered, clock, log, settings, watch, new LeaseListener());
     this.workers = new WorkerRegistry(answered, clock, log, formats, this::onWorkerGone);
+    this.finalRows = new FinalRows(answered, clock, lease, settings.stateKeptMillis());
+    this.quarantine = new Quarantine(log);
+    this.jobs =
+        new JobBook(
+            clock,
+            log,
+            formats,
+            workers,
+            queues,
+            finalRows,
+            quarantine,
+            durations,
+            lease::onFenced);
     this.feed = new JobFeed(answered, clock, log, new FeedListener());
-    this.committer = new Committer(answered, clock, log, lease, new CommitListener());
+    this.committer = new Committer(answered, clock, log, lease, jobs);
     this.orders = new Orders(workerPort, clock, log, lease, settings, new OrderListener());
+    jobs.connect(committer, orders);
     this.runLists =
         new RunLists(
             workerPort,
@@ -108,8 +108,8 @@
             log,
             lease,
             new Pacer(workerPort, clock, log, lease),
-            jobs::get,
-            new TaskListener());
+            jobs::find,
+            jobs);
     this.holds = new WorkerHolds(workerPort, clock, log, lease, settings, new HoldListener());
     this.machineList = new MachineList(machinePort, clock, log);
     MaintenanceActions actions = new MaintenanceActions();
@@ -119,10 +119,8 @@
         new PoolSizer(
             machinePort, clock, log, lease, settings, workers, queues, machineList, actions);
     this.pendingCounts = new PendingCounts(store, lease);
-    this.finalRows = new FinalRows(store, clock, lease, settings.stateKeptMillis());
     this.waveStatus = new WaveStatus(store, clock, lease, formats);
     this.advice = new AdviceDesk(advicePort, clock, log);
-    this.quarantine = new Quarantine(log);
     this.placement =
         new Placement(queues, workers, new JobOrder(durations), quarantine, advice, log);
   }
@@ -145,7 +143,7 @@
   /** Takes a version of the configuration that is in force. */
   public void onConfig(FleetSettings newest) {
     queues.accept(newest);
-    placementWanted = true;
+    jobs.wantPlacement();
   }
 
   /** Takes all waves of maintenance that the operator has asked for. */
@@ -195,17 +193,17 @@
     place(now);
     poolSizer.tick(placement.backlog(), now);
     committer.tick(now);
-    pendingCounts.tick(jobs.values(), now);
+    pendingCounts.tick(jobs.all(), now);
     waveStatus.tick(now);
     finalRows.tick(now);
   }
 
   private void place(long now) {
-    boolean isDue = placementWanted && now - placedMillis >= PLACEMENT_MILLIS;
-    if (isDue || now - placedMillis >= PLACEMENT_MAX_MILLIS) {
+    long since = now - placedMillis;
+    boolean isDue = since >= PLACEMENT_MILLIS && jobs.takeChanged();
+    if (isDue || since >= PLACEMENT_MAX_MILLIS) {
       placedMillis = now;
-      placementWanted = false;
-      for (Job job : placement.run(jobs.values(), now, clock.wallMillis())) {
+      for (Job job : placement.run(jobs.all(), now, clock.wallMillis())) {
         if (job.state == JobState.QUEUED) {
           job.state = JobState.RUNNING;
         }
@@ -238,8 +236,8 @@
       return;
     }
     active = true;
-    placementWanted = true;
-    restore(loadedRows);
+    jobs.wantPlacement();
+    jobs.restore(loadedRows);
     loadedRows = ImmutableList.of();
     maintenance.onWaves(waves, clock.monotonicMillis());
     log.log(
@@ -247,158 +245,20 @@
         "epoch",
         lease.epoch(),
         "jobs",
-        jobs.size(),
+        jobs.all().size(),
         "workers",
         workers.all().size(),
         "millis",
         clock.monotonicMillis() - acquiredMillis);
   }
 
-  private void restore(ImmutableList<StoredRow> rows) {
-    Map<String, List<StoredRow>> byJob = new LinkedHashMap<>();
-    for (StoredRow row : rows) {
-      if (!row.deleted()) {
-        byJob.computeIfAbsent(JobRows.jobOf(row.key()), id -> new ArrayList<>()).add(row);
-      }
-    }
-    byJob.forEach((id, own) -> restore(id, ImmutableList.copyOf(own)));
-  }
-
-  private void restore(String id, ImmutableList<StoredRow> rows) {
-    Optional<StoredRow> submission = JobRows.find(rows, Kind.SUBMISSION);
-    if (submission.isEmpty()) {
-      if (JobRows.find(rows, Kind.FINAL).isPresent()) {
-        finalRows.add(id);
-      }
-      return;
-    }
-    Optional<Job> job = accept(id, submission.get());
-    if (job.isEmpty()) {
-      return;
-    }
-    JobRows.find(rows, Kind.PROGRESS).ifPresent(row -> resume(job.get(), row));
-    if (JobRows.find(rows, Kind.CANCELLATION).isPresent()) {
-      cancel(job.get());
-    }
-  }
-
-  private void resume(Job job, StoredRow progress) {
-    job.progressVersion = progress.version();
-    for (ProgressRow.Placed placed : ProgressRow.decodeInto(progress.value(), job)) {
-      Worker worker = workers.named(placed.worker(), placed.incarnation());
-      Task task = placed.task();
-      task.assign(worker, task.attempt, "");
-      task.phase = TaskPhase.ORDERED;
-      task.recovered = true;
-    }
-    if (job.allDone()) {
-      finish(job, JobState.COMPLETED);
-    }
-  }
-
-  private Optional<Job> accept(String id, StoredRow submission) {
-    Either<Failure, JobSpec> spec = formats.job(id, submission.value());
-    if (spec.isLeft()) {
-      log.log("job.unreadable", "job", id, "failure", spec.getLeft().detail());
-      return Optional.empty();
-    }
-    TeamUse team = teams.computeIfAbsent(spec.get().team(), TeamUse::new);
-    Job job = Job.create(spec.get(), team, clock.monotonicMillis());
-    job.isExcess =
-        teamRate.isExcess(
-            spec.get().team(), spec.get().acceptedMillis(), queues.weightOf(spec.get().team()));
-    jobs.put(id, job);
-    placementWanted = true;
-    log.log(
-        "job.seen",
-        "job",
-        id,
-        "queue",
-        spec.get().queue(),
-        "team",
-        spec.get().team(),
-        "excess",
-        job.isExcess,
-        "lasting",
-        spec.get().steps().stream().filter(StepSpec::lasting).count(),
-        "backfill",
-        spec.get().steps().stream().filter(StepSpec::backfill).count(),
-        "serving",
-        spec.get().steps().stream().filter(StepSpec::serving).count(),
-        "sinceAccepted",
-        clock.wallMillis() - spec.get().acceptedMillis());
-    return Optional.of(job);
-  }
-
-  private void cancel(Job job) {
-    if (job.cancelRequested || (job.state.isFinal() && job.finalCommitted)) {
-      return;
-    }
-    job.cancelRequested = true;
-    finish(job, JobState.CANCELLED);
-  }
-
-  /** Gives a job its final state and ends what still runs of it. */
-  private void finish(Job job, JobState state) {
-    job.state = state;
-    committer.add(job, true);
-    job.forEachTask(
-        task -> {
-          if (task.phase == TaskPhase.ASSIGNED) {
-            release(task, TaskPhase.WAITING, "job_" + state);
-          } else {
-            orders.stop(task, "job_" + state);
-          }
-        });
-    log.log(
-        "job.finished",
-        "job",
-        job.spec.id(),
-        "state",
-        state,
-        "sinceAccepted",
-        clock.wallMillis() - job.spec.acceptedMillis());
-  }
-
-  private void release(Task task, TaskPhase next, String reason) {
-    if (next == TaskPhase.WAITING) {
-      log.log(
-          "task.released",
-          "job",
-          task.id.job(),
-          "task",
-          task.id,
-          "attempt",
-          task.attempt,
-          "worker",
-          task.worker == null ? "" : task.worker.entry.id(),
-          "phase",
-          task.phase,
-          "reason",
-          reason);
-    }
-    task.startAfterChange = 0;
-    task.release(next, clock.monotonicMillis());
-    placementWanted = true;
-    forgetIfOver(task.job);
-  }
-
-  private void forgetIfOver(Job job) {
-    if (job.finalCommitted && job.isQuiet()) {
-      jobs.remove(job.spec.id(), job);
-    }
-  }
-
   private void onWorkerGone(Worker worker) {
-    for (Task task : worker.tasks()) {
-      release(task, TaskPhase.WAITING, "worker_gone");
-    }
+    jobs.releaseAll(worker, "worker_gone");
   }
 
   private void reset() {
     active = false;
-    jobs.clear();
-    teams.clear();
+    jobs.reset();
     loadedRows = ImmutableList.of();
     committer.reset();
     orders.reset();
@@ -406,7 +266,6 @@
     feed.reset();
     advice.reset();
     quarantine.reset();
-    teamRate.reset();
     pendingCounts.reset();
     finalRows.reset();
     waveStatus.reset();
@@ -459,65 +318,22 @@
       }
       for (StoredRow row : rows) {
         if (!row.deleted()) {
-          JobRows.kindOf(row.key()).ifPresent(kind -> onRow(kind, row));
+          jobs.onRow(row);
         }
       }
     }
-
-    private void onRow(Kind kind, StoredRow row) {
-      String id = JobRows.jobOf(row.key());
-      Job job = jobs.get(id);
-      if (kind == Kind.SUBMISSION && job == null) {
-        accept(id, row);
-      } else if (kind == Kind.CANCELLATION && job != null) {
-        cancel(job);
-      }
-    }
-  }
-
-  private final class CommitListener implements Committer.Listener {
-    @Override
-    public void onCommitted(Job job) {
-      if (job.finalCommitted) {
-        finalRows.add(job.spec.id());
-        forgetIfOver(job);
-      } else if (!job.state.isFinal()) {
-        job.forEachTask(
-            task -> {
-              boolean isCommitted =
-                  task.phase == TaskPhase.ASSIGNED
-                      && task.startAfterChange > 0
-                      && task.startAfterChange <= job.committedChanges;
-              if (isCommitted) {
-                task.startAfterChange = 0;
-                orders.start(task);
-              }
-            });
-      }
-      workers.all().forEach(Worker::updateCommittedEnds);
-    }
-
-    @Override
-    public void onCancellationFound(Job job) {
-      cancel(job);
-    }
-
-    @Override
-    public void onGuardFailed() {
-      lease.onFenced();
-    }
   }
 
   private final class OrderListener implements Orders.Listener {
     @Override
     public void onNotStarted(Task task, String reason) {
       advice.drop(task);
-      release(task, TaskPhase.WAITING, reason);
+      jobs.release(task, TaskPhase.WAITING, reason);
     }
 
     @Override
     public void onStarted(Task task) {
-      started(task);
+      jobs.onStarted(task);
     }
 
     @Override
@@ -533,10 +349,9 @@
 
   private final class HoldListener implements WorkerHolds.Listener {
     @Override
-    public void onReport(
-        Worker worker, org.sassafraslink.api.fleet.RunReport report, long sentMillis) {
+    public void onReport(Worker worker, RunReport report, long sentMillis) {
       if (!worker.known) {
-        placementWanted = true;
+        jobs.wantPlacement();
       }
       runLists.onReport(worker, report, sentMillis);
       worker.updateCommittedEnds();
@@ -560,9 +375,7 @@
     @Override
     public void onLeaseExpired(Worker worker) {
       log.log("worker.lease_expired", "worker", worker.entry.id(), "tasks", worker.tasks().size());
-      for (Task task : worker.tasks()) {
-        release(task, TaskPhase.WAITING, "lease_expired");
-      }
+      jobs.releaseAll(worker, "lease_expired");
       // When it answers again, its lists are read before it gets new tasks.
       worker.known = false;
     }
@@ -578,78 +391,6 @@
     workers.end(worker);
   }
 
-  private void started(Task task) {
-    task.phase = TaskPhase.RUNNING;
-    task.recovered = false;
-    task.confirmedMillis = clock.monotonicMillis();
-    log.log(
-        "task.started",
-        "job",
-        task.id.job(),
-        "task",
-        task.id,
-        "attempt",
-        task.attempt,
-        "worker",
-        task.worker.entry.id(),
-        "sinceAccepted",
-        clock.wallMillis() - task.job.spec.acceptedMillis());
-  }
-
-  private final class TaskListener implements RunLists.Listener {
-    @Override
-    public void onStarted(Task task) {
-      started(task);
-    }
-
-    @Override
-    public void onVanished(Task task) {
-      release(task, TaskPhase.WAITING, "not_listed");
-    }
-
-    @Override
-    public void onDone(Task task, long runMillis) {
-      if (task.confirmedMillis > 0) {
-        durations.learn(task.job.spec.queue(), task.step, runMillis);
-      }
-      quarantine.onEnd(task.worker, task, false, clock.monotonicMillis());
-      release(task, TaskPhase.DONE, "done");
-      if (task.job.state.isFinal()) {
-        return;
-      }
-      if (task.job.allDone()) {
-        finish(task.job, JobState.COMPLETED);
-      } else {
-        committer.add(task.job, false);
-      }
-    }
-
-    @Override
-    public void onFailed(Task task) {
-      quarantine.onEnd(task.worker, task, true, clock.monotonicMillis());
-      task.failures++;
-      task.failedOn.add(task.worker.entry.id());
-      release(task, TaskPhase.WAITING, "failed");
-      if (task.job.state.isFinal()) {
-        return;
-      }
-      int maxFailures = queues.queueOf(task.job.spec).maxFailures();
-      if (!task.step.lasting() && task.failures >= maxFailures) {
-        finish(task.job, JobState.FAILED);
-      } else {
-        committer.add(task.job, false);
-      }
-    }
-
-    @Override
-    public void onEnded(Task task, String how) {
-      release(task, TaskPhase.WAITING, how);
-      if (!task.job.state.isFinal()) {
-        committer.add(task.job, false);
-      }
-    }
-  }
-
   private final class MaintenanceActions implements Maintenance.Actions {
     @Override
     public void stop(Task task, String reason) {
