--- a/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
@@ -10,6 +10,7 @@
  * @param callers where callers are served
  * @param readiness where the balancer asks whether new connections may come
  * @param peers where other entry VMs reach this one
+ * @param metrics where metrics are served as text
  * @param store the platform's rows
  * @param machines the platform's VMs
  * @param advice the placement advice service
@@ -30,6 +31,7 @@
     InetSocketAddress callers,
     InetSocketAddress readiness,
     InetSocketAddress peers,
+    InetSocketAddress metrics,
     InetSocketAddress store,
     InetSocketAddress machines,
     Optional<InetSocketAddress> advice,
--- a/api/src/main/java/org/sassafraslink/api/log/EventLog.java
+++ b/api/src/main/java/org/sassafraslink/api/log/EventLog.java
@@ -19,25 +19,39 @@
 
   private static final long WINDOW_MILLIS = 1_000;
 
+  /** Hears of every event, also of those whose line is left out. */
+  @FunctionalInterface
+  public interface Observer {
+    /** An event with its fields, names and values in turn. */
+    void onEvent(String event, Object... fields);
+  }
+
   private final String node;
   private final LongSupplier wallMillis;
   private final Consumer<String> sink;
+  private final Observer observer;
   private final Map<String, Window> windows = new HashMap<>();
 
-  private EventLog(String node, LongSupplier wallMillis, Consumer<String> sink) {
+  private EventLog(String node, LongSupplier wallMillis, Consumer<String> sink, Observer observer) {
     this.node = node;
     this.wallMillis = wallMillis;
     this.sink = sink;
+    this.observer = observer;
   }
 
   /** A log of {@code node} that hands whole lines to {@code sink}, which must not block. */
   public static EventLog to(String node, LongSupplier wallMillis, Consumer<String> sink) {
-    return new EventLog(node, wallMillis, sink);
+    return new EventLog(node, wallMillis, sink, (event, fields) -> {});
+  }
+
+  /** This log, which also tells {@code other} of every event. */
+  public EventLog observedBy(Observer other) {
+    return new EventLog(node, wallMillis, sink, other);
   }
 
   /** A log that writes nothing. */
   public static EventLog silent() {
-    return new EventLog("", () -> 0, line -> {});
+    return new EventLog("", () -> 0, line -> {}, (event, fields) -> {});
   }
 
   /**
@@ -47,6 +61,7 @@
    * @param fields names and values in turn
    */
   public void log(String event, Object... fields) {
+    observer.onEvent(event, fields);
     long now = wallMillis.getAsLong();
     long suppressed = admit(event, now);
     if (suppressed < 0) {
--- a/entry/src/main/java/org/sassafraslink/entry/Main.java
+++ b/entry/src/main/java/org/sassafraslink/entry/Main.java
@@ -2,9 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.UUID;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
 import org.sassafraslink.api.fleet.NodeSettings;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.entry.process.ClassLoading;
@@ -19,35 +23,66 @@
 
   private Main() {}
 
+  /** Starts the daemon, or refuses its settings with exit code 2; {@code --help} tells the rest. */
+  public static void main(String[] args)
+      throws ReflectiveOperationException, InterruptedException, IOException {
+    if (args.length > 0) {
+      runOption(args);
+      return;
+    }
+    Path file = settingsFile();
+    NodeSettings settings = settings(file);
+    EventLog log = EventLogs.create(settings.node());
+    HangUp.handle(() -> reload(file, log));
+    EntryNode node = EntryNode.start(settings, log, UUID.randomUUID().toString());
+    Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
+  }
+
   /**
-   * Starts the daemon, or refuses its settings with exit code 2. With {@code --check-settings} it
-   * only checks them; with {@code --load-classes} it starts and stops, for the class-data archive.
+   * Options are parsed only where there are some: the parser's classes would cost time at a start.
    */
-  public static void main(String[] args) throws ReflectiveOperationException, InterruptedException {
-    if (List.of(args).contains("--load-classes")) {
+  private static void runOption(String[] args) throws InterruptedException, IOException {
+    OptionParser parser = new OptionParser();
+    OptionSpec<Void> check = parser.accepts("check-settings", "check the settings file and exit");
+    OptionSpec<Void> load =
+        parser.accepts("load-classes", "start and stop, for the class-data archive");
+    parser.accepts("help", "print this help").forHelp();
+    OptionSet options;
+    try {
+      options = parser.parse(args);
+    } catch (OptionException e) {
+      System.err.println(e.getMessage());
+      System.exit(BAD_SETTINGS);
+      return;
+    }
+    if (options.has(check)) {
+      NodeSettings settings = settings(settingsFile());
+      System.out.println("The settings of " + settings.node() + " are valid.");
+    } else if (options.has(load)) {
       ClassLoading.run(EventLogs.create("class-loading"));
       System.exit(0);
+    } else {
+      System.out.println("sassafraslink-entry; " + NodeFile.PATH_VARIABLE + " names its settings");
+      parser.printHelpOn(System.out);
     }
+  }
+
+  private static Path settingsFile() {
     String file = System.getenv(NodeFile.PATH_VARIABLE);
     if (file == null) {
       System.err.println(NodeFile.PATH_VARIABLE + ": must name the settings file");
       System.exit(BAD_SETTINGS);
-      return;
     }
-    Either<ImmutableList<String>, NodeSettings> settings = NodeFile.read(Path.of(file));
+    return Path.of(file);
+  }
+
+  private static NodeSettings settings(Path file) {
+    Either<ImmutableList<String>, NodeSettings> settings = NodeFile.read(file);
     if (settings.isLeft()) {
       settings.getLeft().forEach(System.err::println);
       System.exit(BAD_SETTINGS);
-      return;
-    }
-    if (List.of(args).contains("--check-settings")) {
-      System.out.println("The settings are valid.");
-      return;
     }
-    EventLog log = EventLogs.create(settings.get().node());
-    HangUp.handle(() -> reload(Path.of(file), log));
-    EntryNode node = EntryNode.start(settings.get(), log, UUID.randomUUID().toString());
-    Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
+    return settings.get();
   }
 
   /** What the file says of addresses and bounds holds for the life of a process. */
--- a/entry/src/main/java/org/sassafraslink/entry/process/ClassLoading.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ClassLoading.java
@@ -62,6 +62,7 @@
         any,
         any,
         any,
+        any,
         nobody,
         nobody,
         Optional.of(nobody),
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -36,9 +36,12 @@
 
   private static final long STOP_POLL_MILLIS = 50;
 
+  private static final double MILLIS_IN_SECOND = 1_000;
+
   private final NodeSettings settings;
   private final EventLog log;
   private final SystemClock clock = new SystemClock();
+  private final EventMetrics metrics = new EventMetrics();
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final SchedulerThread schedulerThread;
@@ -48,9 +51,9 @@
   private final CallerServer callers;
   private volatile boolean stopping;
 
-  private EntryNode(NodeSettings settings, EventLog log, String process) {
+  private EntryNode(NodeSettings settings, EventLog plainLog, String process) {
     this.settings = settings;
-    this.log = log;
+    this.log = plainLog.observedBy(metrics);
     EventLoop loop = group.next();
     BiConsumer<Runnable, Integer> later =
         (task, millis) -> loop.schedule(task, millis, TimeUnit.MILLISECONDS);
@@ -86,6 +89,22 @@
             store, clock, log, later, () -> config.isStoreSilent(clock.monotonicMillis()));
     JobCalls calls = JobCalls.create(config, store, desk, clock, log);
     callers = CallerServer.create(calls::handle, clock, MAX_CONNECTIONS);
+    metrics.gauge(
+        "sassafraslink_store_answer_age_seconds",
+        "Time since the store last answered",
+        () -> (clock.monotonicMillis() - store.answeredMillis()) / MILLIS_IN_SECOND);
+    metrics.gauge(
+        "sassafraslink_scheduling",
+        "1 while this process holds the scheduling lease",
+        () -> scheduler.isScheduling() ? 1 : 0);
+    metrics.gauge(
+        "sassafraslink_requests_in_flight",
+        "Requests of callers that have no answer yet",
+        callers::inFlight);
+    metrics.gauge(
+        "sassafraslink_log_lines_dropped",
+        "Log lines for which the ring had no room",
+        LogSetup::dropped);
   }
 
   /**
@@ -98,6 +117,7 @@
     node.peers.listen(node.group, settings.peers());
     node.callers.listen(node.group, settings.callers());
     StatusServer.create(node::isReady).listen(node.group, settings.readiness());
+    StatusServer.serving(node.metrics::text).listen(node.group, settings.metrics());
     node.schedulerThread.start(node.scheduler);
     node.group.next().execute(node.config::start);
     log.log("process.started", "process", process, "uptime", upMillis());
--- /dev/null
+++ b/entry/src/test/java/org/sassafraslink/entry/process/EventMetricsTest.java
@@ -0,0 +1,47 @@
+package org.sassafraslink.entry.process;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sassafraslink.api.log.EventLog;
+
+/** {@link EventMetrics}: events are counted, also those whose line is left out of the log. */
+class EventMetricsTest {
+  private final EventMetrics metrics = new EventMetrics();
+  private final List<String> lines = new ArrayList<>();
+  private final EventLog log = EventLog.to("n", () -> 5, lines::add).observedBy(metrics);
+
+  @Test
+  void countsByKindAndMeasuresHops() {
+    log.log("job.submitted", "job", "a", "outcome", "stored", "millis", 30L);
+    String text = metrics.text();
+    assertTrue(
+        text.contains("sassafraslink_events_total{event=\"job.submitted\",kind=\"stored\"} 1.0"),
+        text);
+    assertTrue(text.contains("sassafraslink_hop_seconds_sum{event=\"job.submitted\"} 0.03"), text);
+  }
+
+  @Test
+  void jobIdsAreNoLabels() {
+    log.log("job.seen", "job", "a", "sinceAccepted", 3L);
+    assertFalse(metrics.text().contains("\"a\""), metrics.text());
+  }
+
+  @Test
+  void boundsLinesButCountsAll() {
+    for (int i = 0; i < 1_000; i++) {
+      log.log("task.started", "task", i);
+    }
+    assertTrue(lines.size() < 300, lines.size() + " lines");
+    assertTrue(metrics.text().contains("{event=\"task.started\",kind=\"\"} 1000.0"));
+  }
+
+  @Test
+  void servesGauges() {
+    metrics.gauge("sassafraslink_test", "A test", () -> 7);
+    assertTrue(metrics.text().contains("sassafraslink_test 7.0"));
+  }
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Orders.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Orders.java
@@ -125,7 +125,10 @@
       return;
     }
     boolean isStart = task.phase == TaskPhase.ORDERED;
-    if (isStart && task.unanswered >= MAX_UNANSWERED_STARTS) {
+    boolean isRepeated = task.unanswered > 0;
+    boolean isHopeless =
+        task.unanswered >= MAX_UNANSWERED_STARTS || (isRepeated && task.worker.entry.draining());
+    if (isStart && isHopeless) {
       stop(task, "start_unanswered");
       return;
     }
