Wait for the predecessor's stops before stopping lasting tasks

A new scheduler now waits for the longest stop and the age of lists. The start of a lasting task is repeated, never turned into a stop, which may end a task at work. Ruled out: stops for draining workers, which the rule exempts; silent workers, which count as away.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Availability.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Availability.java
@@ -10,6 +10,16 @@
 final class Availability {
   private Availability() {}
 
+  /**
+   * From when on a new scheduler may stop lasting tasks, monotonic ms.
+   *
+   * <p>A task that its predecessor has just told to stop is still listed as at work until it has
+   * stopped, and what a worker has told is relied on for a while.
+   */
+  static long stopsFromMillis(long activeMillis, long stopMillis) {
+    return activeMillis + stopMillis + Worker.HEARD_MILLIS;
+  }
+
   /** Whether {@code task}, which runs, may be stopped now. */
   static boolean allowsStop(Task task, long nowMillis) {
     if (!task.worker.isHeardOf(nowMillis)) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
@@ -92,6 +92,7 @@
   private final Map<String, Long> retryAt = new HashMap<>();
   private boolean orderPending;
   private long ordersFromMillis;
+  private long stopsFromMillis;
   private long term;
 
   Maintenance(
@@ -126,6 +127,11 @@
     waves.clear();
   }
 
+  /** The jobs of an earlier scheduler have just been taken over. */
+  void onActive(long nowMillis) {
+    stopsFromMillis = Availability.stopsFromMillis(nowMillis, settings.stopMillis());
+  }
+
   void onWaves(Iterable<Wave> known, long nowMillis) {
     for (Wave wave : known) {
       waves.computeIfAbsent(
@@ -267,7 +273,7 @@
         continue;
       }
       if (task.step.lasting()) {
-        if (Availability.allowsStop(task, nowMillis)) {
+        if (nowMillis >= stopsFromMillis && Availability.allowsStop(task, nowMillis)) {
           actions.stop(task, "wave");
         }
       } else if (isOverdue) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Orders.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Orders.java
@@ -22,7 +22,10 @@
   /** Pause before an unanswered order is sent again, in ms. */
   private static final long RETRY_MILLIS = 150;
 
-  /** Starts without an answer after which the attempt is stopped instead. */
+  /**
+   * Starts without an answer after which the attempt is stopped instead. A lasting task may be at
+   * work by then, and its start is repeated for as long as it takes.
+   */
   private static final int MAX_UNANSWERED_STARTS = 3;
 
   /** How long a worker that refused a start gets no new ones, in ms. */
@@ -127,7 +130,8 @@
     boolean isStart = task.phase == TaskPhase.ORDERED;
     boolean isRepeated = task.unanswered > 0;
     boolean isHopeless =
-        task.unanswered >= MAX_UNANSWERED_STARTS || (isRepeated && task.worker.entry.draining());
+        (task.unanswered >= MAX_UNANSWERED_STARTS && !task.step.lasting())
+            || (isRepeated && task.worker.entry.draining());
     if (isStart && isHopeless) {
       stop(task, "start_unanswered");
       return;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -239,6 +239,7 @@
     jobs.wantPlacement();
     jobs.restore(loadedRows);
     loadedRows = ImmutableList.of();
+    maintenance.onActive(clock.monotonicMillis());
     maintenance.onWaves(waves, clock.monotonicMillis());
     log.log(
         "scheduler.active",
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
@@ -10,6 +10,7 @@
  * @param peerAddress where other entry VMs find that this process lives
  * @param leaseMillis how long workers may run on without hearing from a scheduler
  * @param maxLeaseMillis the longest lease that any scheduler may have granted
+ * @param stopMillis how long a worker takes at most to stop a task
  * @param orderPauseMillis two holders of the scheduling lease keep this apart in orders to VMs
  * @param stateKeptMillis how long a final state is kept at least
  */
@@ -19,6 +20,7 @@
     String peerAddress,
     long leaseMillis,
     long maxLeaseMillis,
+    long stopMillis,
     long orderPauseMillis,
     long stateKeptMillis,
     long maintenanceMillis,
@@ -43,6 +45,7 @@
         node.peers().getHostString() + ":" + node.peers().getPort(),
         lease,
         lease,
+        node.stopMillis(),
         node.orderPauseMillis(),
         node.stateKeptMillis(),
         node.maintenanceMillis(),
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -21,7 +21,7 @@
   private static final double CLOCK_SLOWNESS = 0.98;
 
   /** What a worker told is relied on for this long, in ms: one waiting request, and its answer. */
-  private static final long HEARD_MILLIS = 1_700;
+  static final long HEARD_MILLIS = 1_700;
 
   /** Added to the end of a lease before its tasks count as killed, in ms. */
   private static final long EXPIRY_SLACK_MILLIS = 150;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
@@ -1,10 +1,12 @@
 package org.sassafraslink.scheduler;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -87,4 +89,13 @@
     change.accept(job);
     assertEquals(allowed, Availability.allowsStop(task(job, 0), NOW), name);
   }
+
+  @Test
+  void newSchedulerWaitsForStopsOfItsPredecessor() {
+    long stopMillis = 900;
+    long lastStopOrdered = NOW;
+    long from = Availability.stopsFromMillis(NOW, stopMillis);
+    // A list that is still relied on at that time was made when the task had stopped.
+    assertTrue(from - Worker.HEARD_MILLIS >= lastStopOrdered + stopMillis);
+  }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -84,6 +84,7 @@
                 name + "@" + fleet.clock.now(),
                 5_400,
                 5_400,
+                400,
                 3_000,
                 120_000,
                 2_000,
