Take no VM away from under ends that are not stored

The worker counted as empty meanwhile, so that a wave or a move could end it with the only copy of its ends. Ruled out: an acknowledgement before the commit (Worker.awaitCommit), and an expired lease.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
@@ -226,7 +226,7 @@
     for (String machine : remaining.subList(0, preparing)) {
       Optional<Worker> worker = workers.onMachine(machine);
       worker.ifPresent(found -> cordon(found, progress, nowMillis));
-      boolean isEmpty = worker.map(Worker::isEmpty).orElse(true);
+      boolean isEmpty = worker.map(Worker::isSettled).orElse(true);
       boolean isUp =
           list.find(machine).map(found -> found.state() == MachineState.UP).orElse(false);
       if (isEmpty && isUp && down < maxDown) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
@@ -131,7 +131,7 @@
     Set<Worker> present = new HashSet<>(workers.all());
     emptySince.keySet().retainAll(present);
     for (Worker worker : present) {
-      if (worker.isEmpty()) {
+      if (worker.isSettled()) {
         emptySince.putIfAbsent(worker, nowMillis);
       } else {
         emptySince.remove(worker);
@@ -242,7 +242,7 @@
   private boolean isMovable(Worker worker, String pool, long nowMillis) {
     return worker.listed
         && worker.known
-        && worker.isEmpty()
+        && worker.isSettled()
         && !worker.entry.draining()
         && worker.silences == 0
         && worker.cordon.isEmpty()
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -160,6 +160,14 @@
     return tasks.isEmpty();
   }
 
+  /**
+   * Whether its VM may be taken away without loss: nothing runs there, and all its ends are stored.
+   * An end that is only known here would be lost with the worker, and its task would run again.
+   */
+  boolean isSettled() {
+    return tasks.isEmpty() && committedEnds >= seenEnds;
+  }
+
   Resources free() {
     return entry.capacity().minus(reserved);
   }
