Grow pools by the rate of arriving work; leave VMs at work while a wave has time

The log also showed a wave of maintenance taking three VMs at 3.5 s that had joined the busy pool 0.5 s before.

Change: DemandRate keeps the work that has arrived in the last second, by pool; a pool gets the VMs that this needs with a fifth of headroom, and keeps them. A wave leaves VMs at work in pools where tasks wait as long as the rest can be done in time (WavePace), and VMs due for maintenance are the last to be switched on.

Ruled out: a slow listing of new workers (0.25 s at most), placement (starts follow within 30 ms of room).

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobBook.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobBook.java
@@ -33,6 +33,7 @@
   private final FinalRows finalRows;
   private final Quarantine quarantine;
   private final DurationModel durations;
+  private final DemandRate demand;
   private final Runnable onGuardFailed;
   private final TeamRate teamRate = new TeamRate();
   private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -50,6 +51,7 @@
       FinalRows finalRows,
       Quarantine quarantine,
       DurationModel durations,
+      DemandRate demand,
       Runnable onGuardFailed) {
     this.clock = clock;
     this.log = log;
@@ -59,6 +61,7 @@
     this.finalRows = finalRows;
     this.quarantine = quarantine;
     this.durations = durations;
+    this.demand = demand;
     this.onGuardFailed = onGuardFailed;
   }
 
@@ -72,6 +75,7 @@
     jobs.clear();
     teams.clear();
     teamRate.reset();
+    demand.reset();
   }
 
   Collection<Job> all() {
@@ -167,6 +171,11 @@
         teamRate.isExcess(spec.team(), spec.acceptedMillis(), queues.weightOf(spec.team()));
     jobs.put(spec.id(), job);
     changed = true;
+    long ageMillis = clock.wallMillis() - spec.acceptedMillis();
+    if (!job.isExcess && !spec.scheduled()) {
+      String pool = queues.queueOf(spec).service();
+      demand.onArrival(pool, job, ageMillis, clock.monotonicMillis());
+    }
     log.log(
         "job.seen",
         "job",
@@ -184,7 +193,7 @@
         "serving",
         spec.steps().stream().filter(StepSpec::serving).count(),
         "sinceAccepted",
-        clock.wallMillis() - spec.acceptedMillis());
+        ageMillis);
     return job;
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
@@ -31,18 +31,6 @@
   /** Pause after a refused order, in ms. */
   private static final long RETRY_MILLIS = 400;
 
-  /** Shortest time that short tasks on a VM get to end, in ms. */
-  private static final long MIN_DRAIN_MILLIS = 700;
-
-  /**
-   * Longest time that short tasks get to end, in ms. Most end within it, and time that is saved
-   * early makes up for failures later in the wave.
-   */
-  private static final long MAX_DRAIN_MILLIS = 2_000;
-
-  /** The part of a wave's time that is planned for; the rest is for failures. */
-  private static final double PLANNED_PART = 0.7;
-
   /** How to stop tasks and to end workers. */
   interface Actions {
     void stop(Task task, String reason);
@@ -152,7 +140,16 @@
     }
   }
 
-  void tick(long nowMillis) {
+  /** Whether some wave still has to take a VM down. */
+  boolean isPending(String machine) {
+    return waves.values().stream()
+        .anyMatch(
+            progress ->
+                progress.wave.machines().contains(machine) && !progress.begun.contains(machine));
+  }
+
+  /** Goes on with all waves; pools in which tasks wait keep their VMs while there is time. */
+  void tick(Backlog backlog, long nowMillis) {
     boolean isActive = waves.values().stream().anyMatch(progress -> !progress.toldCompleted);
     if (!isActive || !lease.isValid()) {
       return;
@@ -161,11 +158,11 @@
     if (list.isFresh(nowMillis)) {
       waves.values().stream()
           .filter(progress -> !progress.toldCompleted)
-          .forEach(progress -> advance(progress, nowMillis));
+          .forEach(progress -> advance(progress, backlog, nowMillis));
     }
   }
 
-  private void advance(Progress progress, long nowMillis) {
+  private void advance(Progress progress, Backlog backlog, long nowMillis) {
     if (!progress.toldRunning) {
       progress.toldRunning = true;
       actions.tell(progress.wave.number(), false);
@@ -192,7 +189,29 @@
       actions.tell(progress.wave.number(), true);
       return;
     }
-    prepare(progress, remaining, nowMillis);
+    WavePace pace = pace(progress, remaining.size(), nowMillis);
+    if (pace.hasTime()) {
+      remaining.removeIf(machine -> isNeeded(machine, backlog));
+    }
+    prepare(progress, remaining, pace, nowMillis);
+  }
+
+  private WavePace pace(Progress progress, int remaining, long nowMillis) {
+    return new WavePace(
+        (long) (progress.wave.durationSeconds() * 1_000),
+        nowMillis - progress.seenMillis,
+        remaining,
+        progress.wave.maxDown(),
+        settings.maintenanceMillis());
+  }
+
+  /** Whether a VM works, is not being emptied yet, and tasks wait for room in its pool. */
+  private boolean isNeeded(String machine, Backlog backlog) {
+    return workers
+        .onMachine(machine)
+        .filter(worker -> !worker.isSettled() && worker.cordon.isEmpty())
+        .map(worker -> backlog.in(worker.entry.service()).tasks() > 0)
+        .orElse(false);
   }
 
   /** A VM is back when a list that was asked for after the order shows it up. */
@@ -216,13 +235,12 @@
     return down.size();
   }
 
-  private void prepare(Progress progress, List<String> remaining, long nowMillis) {
+  private void prepare(Progress progress, List<String> remaining, WavePace pace, long nowMillis) {
     remaining.sort(Comparator.comparingDouble(this::drainCost));
     int maxDown = progress.wave.maxDown();
     int down = downCount(progress);
     // While some are down, as many others are emptied, so that no time is lost between them.
     int preparing = Math.min(remaining.size(), maxDown);
-    long drainMillis = drainMillis(progress, remaining.size(), nowMillis);
     for (String machine : remaining.subList(0, preparing)) {
       Optional<Worker> worker = workers.onMachine(machine);
       worker.ifPresent(found -> cordon(found, progress, nowMillis));
@@ -234,21 +252,11 @@
           down++;
         }
       } else if (!isEmpty) {
-        empty(worker.get(), nowMillis, drainMillis);
+        empty(worker.get(), nowMillis, pace.drainMillis());
       }
     }
   }
 
-  /** How long short tasks may run on before they are stopped, for the wave to be done in time. */
-  private long drainMillis(Progress progress, int remaining, long nowMillis) {
-    double planned = progress.wave.durationSeconds() * 1_000 * PLANNED_PART;
-    double left = planned - (nowMillis - progress.seenMillis);
-    double rounds = Math.ceil((double) remaining / progress.wave.maxDown());
-    double perRound = left / rounds;
-    double drain = perRound - settings.maintenanceMillis();
-    return (long) Math.max(MIN_DRAIN_MILLIS, Math.min(MAX_DRAIN_MILLIS, drain));
-  }
-
   private void cordon(Worker worker, Progress progress, long nowMillis) {
     if (worker.cordon.isEmpty()) {
       worker.cordon = "wave " + progress.wave.number();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
@@ -1,12 +1,14 @@
 package org.sassafraslink.scheduler;
 
 import io.vavr.control.Either;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
@@ -23,10 +25,10 @@
  * Moves empty VMs to the pools where tasks wait, and to the pool that is powered off when nobody
  * needs them.
  *
- * <p>A pool gets VMs when more waits there than its own workers will soon have room for; VMs come
- * from pools that do not need them, then from the pool that is powered off. A VM that has been
- * empty for a while is powered off. The pause before keeps VMs from moving back and forth with
- * every gap in the demand.
+ * <p>A pool gets VMs when more waits there than its own workers will soon have room for, or more
+ * work arrives than they can do; VMs come from pools that do not need them, then from the pool that
+ * is powered off. A VM that has been empty for a while is powered off. The pause before keeps VMs
+ * from moving back and forth with every gap in the demand.
  */
 final class PoolSizer {
   /** A VM empty for this long is powered off, in ms; about twice the price of two moves. */
@@ -38,6 +40,9 @@
   /** The part of a pool's capacity that comes free before a moved VM would arrive. */
   private static final double SOON_FREE_PART = 0.25;
 
+  /** Part by which a pool has more than the work that arrives uses on average, for its bursts. */
+  private static final double HEADROOM = 1.2;
+
   /** A pool keeps at least this many workers. */
   private static final int MIN_WORKERS = 2;
 
@@ -61,8 +66,10 @@
   private final SchedulerSettings settings;
   private final WorkerRegistry workers;
   private final QueueBook queues;
+  private final DemandRate demand;
   private final MachineList list;
   private final Maintenance.Actions actions;
+  private final Predicate<String> awaitsMaintenance;
 
   private final Map<String, Move> moves = new HashMap<>();
   private final Map<String, Long> retryAt = new HashMap<>();
@@ -79,8 +86,10 @@
       SchedulerSettings settings,
       WorkerRegistry workers,
       QueueBook queues,
+      DemandRate demand,
       MachineList list,
-      Maintenance.Actions actions) {
+      Maintenance.Actions actions,
+      Predicate<String> awaitsMaintenance) {
     this.port = port;
     this.clock = clock;
     this.log = log;
@@ -88,8 +97,10 @@
     this.settings = settings;
     this.workers = workers;
     this.queues = queues;
+    this.demand = demand;
     this.list = list;
     this.actions = actions;
+    this.awaitsMaintenance = awaitsMaintenance;
   }
 
   /**
@@ -165,7 +176,8 @@
 
   private void grow(String pool, Backlog backlog, long nowMillis) {
     Backlog.Waiting waiting = backlog.in(pool);
-    if (waiting.tasks() == 0) {
+    Resources needed = needed(pool, nowMillis);
+    if (waiting.tasks() == 0 && needed.equals(Resources.NONE)) {
       return;
     }
     List<Worker> own = workers.listedIn(pool);
@@ -178,32 +190,71 @@
     if (own.isEmpty()) {
       largest = anyCapacity();
     }
-    int missing = missing(waiting, capacity, largest);
+    int missing =
+        Math.max(missing(waiting, capacity, largest), missingAtRate(needed, capacity, largest));
     long coming = moves.values().stream().filter(move -> move.pool().equals(pool)).count();
     for (long i = coming; i < missing && moves.size() < MAX_MOVES; i++) {
       Optional<String> machine = spare(pool, backlog, nowMillis);
       if (machine.isEmpty()) {
         return;
       }
-      move(machine.get(), pool, "backlog of " + waiting.tasks() + " tasks", nowMillis);
+      String reason = "backlog of " + waiting.tasks() + " tasks, " + needed + " at rate";
+      move(machine.get(), pool, reason, nowMillis);
     }
   }
 
-  /** How many VMs of capacity {@code one} a pool lacks. */
+  /** How many VMs of capacity {@code one} a pool lacks for what waits in it. */
   static int missing(Backlog.Waiting waiting, Resources capacity, Resources one) {
-    double cpu =
-        part(waiting.need().cpuMillis() - SOON_FREE_PART * capacity.cpuMillis(), one.cpuMillis());
-    double memory =
-        part(waiting.need().memoryMb() - SOON_FREE_PART * capacity.memoryMb(), one.memoryMb());
-    double accelerators =
-        part(
-            waiting.need().accelerators() - SOON_FREE_PART * capacity.accelerators(),
-            one.accelerators());
-    int missing = (int) Math.ceil(Math.max(cpu, Math.max(memory, accelerators)));
+    int missing = vmsFor(waiting.need(), SOON_FREE_PART, capacity, one);
     // A lasting task waits for a worker that has none of its step yet, however much room there is.
     return Math.max(missing, waiting.lastingTasks() > 0 ? 1 : 0);
   }
 
+  /** How many VMs of capacity {@code one} a pool lacks for work at the rate that it arrives at. */
+  static int missingAtRate(Resources needed, Resources capacity, Resources one) {
+    return vmsFor(needed, 1, capacity, one);
+  }
+
+  private static int vmsFor(Resources need, double usablePart, Resources capacity, Resources one) {
+    double cpu = part(need.cpuMillis() - usablePart * capacity.cpuMillis(), one.cpuMillis());
+    double memory = part(need.memoryMb() - usablePart * capacity.memoryMb(), one.memoryMb());
+    double accelerators =
+        part(need.accelerators() - usablePart * capacity.accelerators(), one.accelerators());
+    return (int) Math.ceil(Math.max(cpu, Math.max(memory, accelerators)));
+  }
+
+  /** What runs in a pool, as work arrives now, and what lasts there. */
+  private Resources needed(String pool, long nowMillis) {
+    Resources arriving = demand.in(pool, nowMillis);
+    if (arriving.equals(Resources.NONE)) {
+      return Resources.NONE;
+    }
+    Resources needed =
+        new Resources(
+            (long) (arriving.cpuMillis() * HEADROOM),
+            (long) (arriving.memoryMb() * HEADROOM),
+            (long) Math.ceil(arriving.accelerators() * HEADROOM));
+    for (Worker worker : workers.listedIn(pool)) {
+      for (Task task : worker.tasks()) {
+        if (task.step.lasting()) {
+          needed = needed.plus(task.step.reserved());
+        }
+      }
+    }
+    return needed;
+  }
+
+  /** Whether a pool can do with one VM less for work at the rate that it arrives at. */
+  private boolean canSpareOne(String pool, Resources one, long nowMillis) {
+    Resources left = Resources.NONE.minus(one);
+    for (Worker worker : workers.listedIn(pool)) {
+      if (worker.cordon.isEmpty()) {
+        left = left.plus(worker.entry.capacity());
+      }
+    }
+    return left.fits(needed(pool, nowMillis));
+  }
+
   private static double part(double amount, long of) {
     return of == 0 ? 0 : Math.max(0, amount / of);
   }
@@ -225,7 +276,8 @@
           !from.equals(pool)
               && backlog.in(from).tasks() == 0
               && workers.listedIn(from).size() > MIN_WORKERS
-              && isMovable(worker, pool, nowMillis);
+              && isMovable(worker, pool, nowMillis)
+              && canSpareOne(from, worker.entry.capacity(), nowMillis);
       if (isIdle && isFree) {
         return Optional.of(worker.entry.machine());
       }
@@ -236,7 +288,8 @@
         .filter(machine -> machine.state() == MachineState.UP)
         .map(Machine::id)
         .filter(machine -> mayOrder(machine, pool, nowMillis))
-        .findFirst();
+        // What is due for maintenance has it done while it is off, and is not taken down at work.
+        .min(Comparator.comparing(awaitsMaintenance::test));
   }
 
   private boolean isMovable(Worker worker, String pool, long nowMillis) {
@@ -268,7 +321,13 @@
               && backlog.in(from).tasks() == 0
               && staying(from) > MIN_WORKERS;
       boolean hasRoom = moves.size() < MAX_MOVES;
-      if (isIdle && isUnneeded && hasRoom && isMovable(worker, off, nowMillis)) {
+      boolean isSpared =
+          isIdle
+              && isUnneeded
+              && hasRoom
+              && isMovable(worker, off, nowMillis)
+              && canSpareOne(from, worker.entry.capacity(), nowMillis);
+      if (isSpared) {
         move(worker.entry.machine(), off, "idle", nowMillis);
       }
     }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -58,6 +58,7 @@
   private final WaveStatus waveStatus;
   private final QueueBook queues = new QueueBook();
   private final DurationModel durations = new DurationModel();
+  private final DemandRate demand = new DemandRate(durations);
 
   private ImmutableList<Wave> waves = ImmutableList.of();
   private ImmutableList<StoredRow> loadedRows = ImmutableList.of();
@@ -96,6 +97,7 @@
             finalRows,
             quarantine,
             durations,
+            demand,
             lease::onFenced);
     this.feed = new JobFeed(answered, clock, log, new FeedListener());
     this.committer = new Committer(answered, clock, log, lease, jobs);
@@ -117,7 +119,17 @@
         new Maintenance(machinePort, clock, log, lease, settings, workers, machineList, actions);
     this.poolSizer =
         new PoolSizer(
-            machinePort, clock, log, lease, settings, workers, queues, machineList, actions);
+            machinePort,
+            clock,
+            log,
+            lease,
+            settings,
+            workers,
+            queues,
+            demand,
+            machineList,
+            actions,
+            maintenance::isPending);
     this.pendingCounts = new PendingCounts(store, lease);
     this.waveStatus = new WaveStatus(store, clock, lease, formats);
     this.advice = new AdviceDesk(advicePort, clock, log);
@@ -188,7 +200,7 @@
       holds.tick(worker, now);
     }
     orders.tick(now);
-    maintenance.tick(now);
+    maintenance.tick(placement.backlog(), now);
     leaveDrainingWorkers();
     place(now);
     poolSizer.tick(placement.backlog(), now);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolSizerTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolSizerTest.java
@@ -30,6 +30,20 @@
     assertEquals(expected, PoolSizer.missing(waiting, capacity, ONE));
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    // 64 cores do the work of 64 cores.
+    "4, 64000, 1000, 0",
+    "4, 64001, 1000, 1",
+    "4, 96000, 1000, 2",
+    // Memory may be what is missing.
+    "4, 1000, 300000, 1"
+  })
+  void countsMissingVmsForArrivingWork(int workers, long cpu, long memory, int expected) {
+    Resources capacity = new Resources(16_000L * workers, 64_000L * workers, 0);
+    assertEquals(expected, PoolSizer.missingAtRate(new Resources(cpu, memory, 0), capacity, ONE));
+  }
+
   @Test
   void backlogAddsUpByPool() {
     Backlog backlog = new Backlog();
