Wait longer for the answers of a slow store

A holder of the lease no longer needs a failed renewal to see that the store is silent: it looks each tick, so it still gives up after 0.85 s.

Ruled out: a longer bound at all times, since an answer that is lost (platform _lost) would hold up the commits of the scheduler twice as long.

--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -58,7 +58,7 @@
     BiConsumer<Runnable, Integer> later =
         (task, millis) -> loop.schedule(task, millis, TimeUnit.MILLISECONDS);
     HttpCaller http = HttpCaller.on(loop);
-    AnsweredStore store = new AnsweredStore(FleetRowStore.at(settings.store(), http), clock);
+    AnsweredStore store = new AnsweredStore(FleetRowStore.at(settings.store(), http, clock), clock);
     schedulerThread = new SchedulerThread(log);
     Optional<AdvicePort> advice =
         settings
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -97,7 +97,7 @@
   private boolean callPending;
   private boolean takeoverPending;
 
-  /** Rises with each takeover, so that answers to earlier reads are told apart. */
+  /** Rises when the lease changes hands, so that answers to earlier calls are told apart. */
   private long readTerm;
 
   private boolean stopping;
@@ -115,6 +115,7 @@
   private long renewalSeenMillis;
   private long answeredMillis;
   private long renewals;
+  private long renewalSentMillis;
   private boolean isWatching;
 
   private long validUntilMillis;
@@ -174,6 +175,9 @@
 
   /** Makes the next call if one is due. */
   void tick(long nowMillis) {
+    if (holding && callPending && isStoreSilent(nowMillis)) {
+      giveUp();
+    }
     if (stopping || nowMillis < nextCallMillis) {
       return;
     }
@@ -263,12 +267,14 @@
 
   private void renew(long nowMillis) {
     callPending = true;
+    renewalSentMillis = nowMillis;
     long wallMillis = clock.wallMillis();
+    long term = readTerm;
     store.change(
         renewal(renewalValue()),
         outcome -> {
-          callPending = false;
-          if (holding) {
+          if (term == readTerm) {
+            callPending = false;
             onRenewal(outcome, nowMillis, wallMillis);
           }
         });
@@ -293,14 +299,18 @@
     } else {
       long now = clock.monotonicMillis();
       nextCallMillis = now + RETRY_MILLIS;
-      long silence = now - store.answeredMillis();
-      log.log("lease.renewal_failed", "epoch", holder.epoch(), "silence", silence);
-      if (silence >= GIVE_UP_MILLIS) {
+      log.log(
+          "lease.renewal_failed", "epoch", holder.epoch(), "silence", now - store.answeredMillis());
+      if (isStoreSilent(now)) {
         giveUp();
       }
     }
   }
 
+  private boolean isStoreSilent(long nowMillis) {
+    return nowMillis - Math.max(store.answeredMillis(), renewalSentMillis) >= GIVE_UP_MILLIS;
+  }
+
   /** This VM seems cut off from the store: another one may reach it. */
   private void giveUp() {
     listener.onGivingUp();
