Record VMs before orders to them; pause only for those after a change

The pause keeps two holders apart in orders to one VM, which the platform does not fence.

Change: a VM is written into the row control/main/orders, under the check of the lease, before an order to it is sent (OrderJournal). A successor reads the row and leaves just these VMs alone for 3.3 s, after any kind of change. The pauses of 1.2 s and 3.3 s for all VMs are gone. A VM is powered off after 2.3 s idle, the price of two moves, instead of 3 s.

Ruled out: no pause for a dead predecessor.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Maintenance.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.MachinePort;
@@ -74,12 +75,12 @@
   private final SchedulerSettings settings;
   private final WorkerRegistry workers;
   private final MachineList list;
+  private final OrderJournal journal;
   private final Actions actions;
 
   private final Map<Long, Progress> waves = new LinkedHashMap<>();
   private final Map<String, Long> retryAt = new HashMap<>();
   private boolean orderPending;
-  private long ordersFromMillis;
   private long stopsFromMillis;
   private long term;
 
@@ -91,6 +92,7 @@
       SchedulerSettings settings,
       WorkerRegistry workers,
       MachineList list,
+      OrderJournal journal,
       Actions actions) {
     this.port = port;
     this.clock = clock;
@@ -99,17 +101,13 @@
     this.settings = settings;
     this.workers = workers;
     this.list = list;
+    this.journal = journal;
     this.actions = actions;
   }
 
-  /**
-   * Begins anew.
-   *
-   * @param ordersFromMillis when the last order of an earlier scheduler is long enough ago
-   */
-  void reset(long ordersFromMillis) {
+  /** Begins anew. */
+  void reset() {
     term++;
-    this.ordersFromMillis = ordersFromMillis;
     orderPending = false;
     retryAt.clear();
     waves.clear();
@@ -309,22 +307,31 @@
 
   private boolean maintain(
       Progress progress, String machine, Optional<Worker> worker, long nowMillis) {
-    boolean isDue = nowMillis >= retryAt.getOrDefault(machine, Long.MIN_VALUE);
-    if (orderPending || !isDue || nowMillis < ordersFromMillis || !lease.isValid()) {
+    boolean isDue =
+        nowMillis >= retryAt.getOrDefault(machine, Long.MIN_VALUE)
+            && journal.mayOrder(machine, nowMillis);
+    if (orderPending || !isDue || !lease.isValid()) {
       return false;
     }
     orderPending = true;
     progress.down.put(machine, nowMillis);
     long sentTerm = term;
-    port.maintain(
-        machine,
-        progress.wave.number(),
-        new Authority(settings.node(), lease.epoch()),
+    Consumer<Either<CallFailure, MachineReply>> onAnswer =
         answer -> {
           if (term == sentTerm) {
             orderPending = false;
             onAnswer(progress, machine, worker, answer);
           }
+        };
+    journal.record(
+        machine,
+        isRecorded -> {
+          if (isRecorded && lease.isValid()) {
+            Authority authority = new Authority(settings.node(), lease.epoch());
+            port.maintain(machine, progress.wave.number(), authority, onAnswer);
+          } else {
+            onAnswer.accept(Either.left(CallFailure.NOT_PERFORMED));
+          }
         });
     return true;
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
@@ -31,8 +33,8 @@
  * from moving back and forth with every gap in the demand.
  */
 final class PoolSizer {
-  /** A VM empty for this long is powered off, in ms; about twice the price of two moves. */
-  private static final long POWER_OFF_MILLIS = 3_000;
+  /** A VM empty for this long is powered off, in ms: what it costs meanwhile is two moves. */
+  private static final long POWER_OFF_MILLIS = 2_300;
 
   /** A VM empty for this long may go to a pool where tasks wait, in ms. */
   private static final long LEND_MILLIS = 600;
@@ -55,6 +57,9 @@
   /** Pause before a VM that could not be moved is tried again, in ms. */
   private static final long RETRY_MILLIS = 2_000;
 
+  /** Pause between two log lines about one pool that is short of VMs, in ms. */
+  private static final long SHORT_LOG_MILLIS = 1_000;
+
   private static final String CORDON = "move";
 
   private record Move(String pool, long sinceMillis) {}
@@ -68,14 +73,15 @@
   private final QueueBook queues;
   private final DemandRate demand;
   private final MachineList list;
+  private final OrderJournal journal;
   private final Maintenance.Actions actions;
   private final Predicate<String> awaitsMaintenance;
 
   private final Map<String, Move> moves = new HashMap<>();
   private final Map<String, Long> retryAt = new HashMap<>();
   private final Map<Worker, Long> emptySince = new HashMap<>();
+  private final Map<String, Long> nextShortLog = new HashMap<>();
   private final Set<String> impossible = new HashSet<>();
-  private long ordersFromMillis;
   private long term;
 
   PoolSizer(
@@ -88,6 +94,7 @@
       QueueBook queues,
       DemandRate demand,
       MachineList list,
+      OrderJournal journal,
       Maintenance.Actions actions,
       Predicate<String> awaitsMaintenance) {
     this.port = port;
@@ -99,18 +106,14 @@
     this.queues = queues;
     this.demand = demand;
     this.list = list;
+    this.journal = journal;
     this.actions = actions;
     this.awaitsMaintenance = awaitsMaintenance;
   }
 
-  /**
-   * Begins anew.
-   *
-   * @param ordersFrom when the last order of an earlier scheduler is long enough ago, monotonic ms
-   */
-  void reset(long ordersFrom) {
+  /** Begins anew. */
+  void reset() {
     term++;
-    ordersFromMillis = ordersFrom;
     moves.clear();
     retryAt.clear();
     emptySince.clear();
@@ -123,9 +126,6 @@
       return;
     }
     observe(nowMillis);
-    if (nowMillis < ordersFromMillis) {
-      return;
-    }
     list.tick(nowMillis);
     if (!list.isFresh(nowMillis)) {
       return;
@@ -196,6 +196,7 @@
     for (long i = coming; i < missing && moves.size() < MAX_MOVES; i++) {
       Optional<String> machine = spare(pool, backlog, nowMillis);
       if (machine.isEmpty()) {
+        logShort(pool, missing - i, backlog, nowMillis);
         return;
       }
       String reason = "backlog of " + waiting.tasks() + " tasks, " + needed + " at rate";
@@ -292,6 +293,41 @@
         .min(Comparator.comparing(awaitsMaintenance::test));
   }
 
+  /** Tells why no VM can be had, at most once a second a pool. */
+  private void logShort(String pool, long missing, Backlog backlog, long nowMillis) {
+    if (nowMillis < nextShortLog.getOrDefault(pool, 0L)) {
+      return;
+    }
+    nextShortLog.put(pool, nowMillis + SHORT_LOG_MILLIS);
+    Map<String, Long> others =
+        workers.all().stream()
+            .filter(worker -> !worker.entry.service().equals(pool))
+            .collect(
+                Collectors.groupingBy(
+                    worker -> obstacle(worker, pool, backlog, nowMillis),
+                    TreeMap::new,
+                    Collectors.counting()));
+    log.log("pool.short", "pool", pool, "missing", missing, "others", others);
+  }
+
+  private String obstacle(Worker worker, String pool, Backlog backlog, long nowMillis) {
+    String from = worker.entry.service();
+    if (!worker.cordon.isEmpty()) {
+      return "cordoned";
+    } else if (!worker.isSettled()) {
+      return worker.tasks().stream().allMatch(task -> task.step.lasting()) ? "lasting" : "busy";
+    } else if (nowMillis - emptySince.getOrDefault(worker, nowMillis) < LEND_MILLIS) {
+      return "just_idle";
+    } else if (backlog.in(from).tasks() > 0) {
+      return "own_backlog";
+    } else if (!journal.mayOrder(worker.entry.machine(), nowMillis)) {
+      return "paused";
+    } else if (!canSpareOne(from, worker.entry.capacity(), nowMillis)) {
+      return "needed";
+    }
+    return isMovable(worker, pool, nowMillis) ? "smallest_pool" : "not_movable";
+  }
+
   private boolean isMovable(Worker worker, String pool, long nowMillis) {
     return worker.listed
         && worker.known
@@ -305,6 +341,7 @@
 
   private boolean mayOrder(String machine, String pool, long nowMillis) {
     return !moves.containsKey(machine)
+        && journal.mayOrder(machine, nowMillis)
         && !impossible.contains(machine + " " + pool)
         && nowMillis >= retryAt.getOrDefault(machine, Long.MIN_VALUE);
   }
@@ -343,6 +380,18 @@
     moves.put(machine, new Move(pool, nowMillis));
     log.log("machine.move", "machine", machine, "pool", pool, "reason", reason);
     long sentTerm = term;
+    journal.record(
+        machine,
+        isRecorded -> {
+          if (isRecorded && lease.isValid()) {
+            send(machine, pool, worker, sentTerm);
+          } else {
+            onAnswer(machine, pool, worker, Either.left(CallFailure.NOT_PERFORMED));
+          }
+        });
+  }
+
+  private void send(String machine, String pool, Optional<Worker> worker, long sentTerm) {
     port.move(
         machine,
         pool,
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -27,9 +27,6 @@
   /** Added to the expiry of leases that earlier schedulers granted, in ms. */
   private static final long EARLIER_LEASE_SLACK_MILLIS = 300;
 
-  /** Bound on an order to the platform about a VM, in ms. */
-  private static final long ORDER_TIMEOUT_MILLIS = 900;
-
   /** Pause between two rounds of placement, in ms, so that events that come together share one. */
   private static final long PLACEMENT_MILLIS = 5;
 
@@ -47,6 +44,7 @@
   private final Orders orders;
   private final WorkerHolds holds;
   private final MachineList machineList;
+  private final OrderJournal journal;
   private final Maintenance maintenance;
   private final PoolSizer poolSizer;
   private final PendingCounts pendingCounts;
@@ -114,9 +112,11 @@
             jobs);
     this.holds = new WorkerHolds(workerPort, clock, log, lease, settings, new HoldListener());
     this.machineList = new MachineList(machinePort, clock, log);
+    this.journal = new OrderJournal(answered, clock, log, lease, settings.orderPauseMillis());
     MaintenanceActions actions = new MaintenanceActions();
     this.maintenance =
-        new Maintenance(machinePort, clock, log, lease, settings, workers, machineList, actions);
+        new Maintenance(
+            machinePort, clock, log, lease, settings, workers, machineList, journal, actions);
     this.poolSizer =
         new PoolSizer(
             machinePort,
@@ -128,6 +128,7 @@
             queues,
             demand,
             machineList,
+            journal,
             actions,
             maintenance::isPending);
     this.pendingCounts = new PendingCounts(store, lease);
@@ -200,6 +201,7 @@
       holds.tick(worker, now);
     }
     orders.tick(now);
+    journal.tick(now);
     maintenance.tick(placement.backlog(), now);
     leaveDrainingWorkers();
     place(now);
@@ -286,20 +288,16 @@
 
   private final class LeaseListener implements SchedulerLease.Listener {
     @Override
-    public void onAcquired(long epoch, boolean afterSilence) {
+    public void onAcquired(long epoch) {
       long now = clock.monotonicMillis();
       acquiredMillis = now;
       long leases = (long) (settings.maxLeaseMillis() * CLOCK_MARGIN);
       reset();
       workers.reset(now + leases + EARLIER_LEASE_SLACK_MILLIS);
-      // A holder that is gone gives no more orders, and those under way are answered or lost.
-      long ordersFrom =
-          now
-              + EARLIER_LEASE_SLACK_MILLIS
-              + (afterSilence ? settings.orderPauseMillis() : ORDER_TIMEOUT_MILLIS);
       machineList.reset();
-      maintenance.reset(ordersFrom);
-      poolSizer.reset(ordersFrom);
+      journal.reset();
+      maintenance.reset();
+      poolSizer.reset();
     }
 
     @Override
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -73,12 +73,8 @@
 
   /** Hears of the lease; called on the scheduler's thread. */
   interface Listener {
-    /**
-     * This process schedules from now on.
-     *
-     * @param afterSilence whether the earlier holder may still live, though its lease has expired
-     */
-    void onAcquired(long epoch, boolean afterSilence);
+    /** This process schedules from now on. */
+    void onAcquired(long epoch);
 
     /** This process is about to give the lease up; its orders are still valid. */
     void onGivingUp();
@@ -115,7 +111,6 @@
   private long renewalSeenMillis;
   private long answeredMillis;
   private long renewals;
-  private long renewalSentMillis;
   private boolean isWatching;
 
   private long validUntilMillis;
@@ -235,9 +230,6 @@
                 new Expectation(HOLDER, holderVersion), new Expectation(RENEWAL, renewalVersion)),
             ImmutableList.of(new Put(HOLDER, next.encode()), new Put(RENEWAL, renewalValue())),
             ImmutableList.of());
-    boolean isOwn = holder.node().equals(settings.node());
-    boolean isVacant = holderVersion == RowStore.ABSENT || released || holderGone || isOwn;
-    boolean afterSilence = !isVacant;
     takeoverPending = true;
     callPending = false;
     readTerm++;
@@ -255,7 +247,7 @@
             holding = true;
             extend(nowMillis, wallMillis);
             log.log("lease.acquired", "epoch", next.epoch());
-            listener.onAcquired(next.epoch(), afterSilence);
+            listener.onAcquired(next.epoch());
           } else {
             // Read again: another process was faster, or the answer was lost.
             feedVersion = -1;
@@ -267,7 +259,6 @@
 
   private void renew(long nowMillis) {
     callPending = true;
-    renewalSentMillis = nowMillis;
     long wallMillis = clock.wallMillis();
     long term = readTerm;
     store.change(
@@ -308,7 +299,7 @@
   }
 
   private boolean isStoreSilent(long nowMillis) {
-    return nowMillis - Math.max(store.answeredMillis(), renewalSentMillis) >= GIVE_UP_MILLIS;
+    return nowMillis - store.answeredMillis() >= GIVE_UP_MILLIS;
   }
 
   /** This VM seems cut off from the store: another one may reach it. */
