Let late jobs give way: crowded-out jobs wait, surplus VMs become free

Earliest deadline first began nearly every job when its slack was used up, so nearly all were late.

Change: a job that would begin too late behind those ahead of it goes after all that can be in time, unless it has begun (DeadlineTriage); which jobs give way does not depend on size or team. VMs beyond what a pool needs for lasting and timely jobs get no tasks of late ones (SurplusWorkers) and become free for other pools or to be powered off. A VM that is empty for 2.7 s all the same gets tasks again, so nothing waits beside idle VMs.

Ruled out: leaving out the largest jobs, which makes the most jobs timely, but serves the large ones less than half as often.

Tests: DeadlineTriageTest, SurplusWorkersTest.

--- a/api/src/main/java/org/sassafraslink/api/fleet/Resources.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/Resources.java
@@ -23,6 +23,14 @@
         cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
   }
 
+  /** The larger amount of each. */
+  public Resources max(Resources other) {
+    return new Resources(
+        Math.max(cpuMillis, other.cpuMillis),
+        Math.max(memoryMb, other.memoryMb),
+        Math.max(accelerators, other.accelerators));
+  }
+
   /** Whether {@code need} fits into this. */
   public boolean fits(Resources need) {
     return need.cpuMillis <= cpuMillis
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -26,9 +26,15 @@
   /** Whether its team had sent more than its rate when it came. */
   boolean isExcess;
 
+  /** Whether it lasts or could be in time when it was last ranked. */
+  boolean isWorthRoom = true;
+
   /** Whether its submitter has cancelled it. */
   boolean cancelRequested;
 
+  /** When it got its final state, monotonic ms. */
+  long finishedMillis;
+
   /** Whether its final state is committed. */
   boolean finalCommitted;
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
@@ -8,8 +8,9 @@
  * Decides which jobs get workers first.
  *
  * <p>Tasks that last come first, since they serve all the time. Then come jobs that can still meet
- * their objective, the earliest deadline first; then late ones; what a team sends beyond its rate,
- * and jobs so late that they are worth nothing, wait for all others.
+ * their objective, the earliest deadline first, then those that others crowd out; then late ones;
+ * what a team sends beyond its rate, and jobs so late that they are worth nothing, wait for all
+ * others.
  */
 final class JobOrder {
   /** A job counts as late up to this multiple of its objective, and as lost beyond. */
@@ -17,15 +18,26 @@
 
   private static final int LASTING = 0;
   private static final int IN_TIME = 1;
-  private static final int LATE = 2;
-  private static final int EXCESS = 3;
-  private static final int LOST = 4;
+  private static final int CROWDED_OUT = 2;
+  private static final int LATE = 3;
+  private static final int EXCESS = 4;
+  private static final int LOST = 5;
 
   /** How a job ranks; lower goes first. */
   record Rank(int group, double key) implements Comparable<Rank> {
     /** Whether the job is worth more workers: it lasts, or can still meet its objective. */
     boolean isWorthRoom() {
-      return group <= IN_TIME;
+      return group <= CROWDED_OUT;
+    }
+
+    /** Whether the job can be in time if it begins by {@link #key}, in wall-clock ms. */
+    boolean isInTime() {
+      return group == IN_TIME;
+    }
+
+    /** The rank of a job that would be in time if those ahead of it left it room. */
+    Rank crowdedOut() {
+      return new Rank(CROWDED_OUT, key);
     }
 
     @Override
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.log.EventLog;
@@ -20,23 +21,28 @@
   private final QueueBook queues;
   private final WorkerRegistry workers;
   private final JobOrder order;
+  private final DurationModel durations;
   private final Quarantine quarantine;
   private final AdviceDesk advice;
+  private final Predicate<Worker> surplus;
   private final EventLog log;
   private Backlog backlog = new Backlog();
 
   Placement(
       QueueBook queues,
       WorkerRegistry workers,
-      JobOrder order,
+      DurationModel durations,
       Quarantine quarantine,
       AdviceDesk advice,
+      Predicate<Worker> surplus,
       EventLog log) {
     this.queues = queues;
     this.workers = workers;
-    this.order = order;
+    this.order = new JobOrder(durations);
+    this.durations = durations;
     this.quarantine = quarantine;
     this.advice = advice;
+    this.surplus = surplus;
     this.log = log;
   }
 
@@ -62,20 +68,47 @@
         candidates.add(new Candidate(job, queue, order.rank(job, queue, wallMillis), tasks));
       }
     }
-    candidates.sort(Comparator.comparing(Candidate::rank));
     Map<String, List<Worker>> usable = new HashMap<>();
-    Set<Job> changed = new HashSet<>();
     for (Candidate candidate : candidates) {
-      List<Worker> pool =
-          usable.computeIfAbsent(
-              candidate.queue().service(), service -> usableIn(service, nowMillis));
-      if (place(candidate, pool, nowMillis)) {
+      usable.computeIfAbsent(candidate.queue().service(), service -> usableIn(service, nowMillis));
+    }
+    Set<Job> changed = new HashSet<>();
+    Map<String, List<Worker>> staying = new HashMap<>();
+    usable.forEach(
+        (service, pool) -> staying.put(service, pool.stream().filter(surplus.negate()).toList()));
+    for (Candidate candidate : inOrder(candidates, usable, wallMillis)) {
+      candidate.job().isWorthRoom = candidate.rank().isWorthRoom();
+      Map<String, List<Worker>> pools = candidate.rank().isWorthRoom() ? usable : staying;
+      if (place(candidate, pools.get(candidate.queue().service()), nowMillis)) {
         changed.add(candidate.job());
       }
     }
     return changed;
   }
 
+  private List<Candidate> inOrder(
+      List<Candidate> candidates, Map<String, List<Worker>> usable, long wallMillis) {
+    candidates.sort(Comparator.comparing(Candidate::rank));
+    Map<String, DeadlineTriage> triages = new HashMap<>();
+    List<Candidate> result = new ArrayList<>(candidates.size());
+    for (Candidate candidate : candidates) {
+      JobOrder.Rank rank = candidate.rank();
+      String service = candidate.queue().service();
+      boolean isCrowdedOut =
+          rank.isInTime()
+              && !triages
+                  .computeIfAbsent(service, pool -> DeadlineTriage.of(durations, usable.get(pool)))
+                  .admits(candidate.job(), rank.key(), wallMillis);
+      result.add(
+          isCrowdedOut
+              ? new Candidate(
+                  candidate.job(), candidate.queue(), rank.crowdedOut(), candidate.tasks())
+              : candidate);
+    }
+    result.sort(Comparator.comparing(Candidate::rank));
+    return result;
+  }
+
   private List<Worker> usableIn(String service, long nowMillis) {
     List<Worker> result = new ArrayList<>();
     for (Worker worker : workers.listedIn(service)) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolSizer.java
@@ -1,5 +1,6 @@
 package org.sassafraslink.scheduler;
 
+import com.google.common.collect.ImmutableSet;
 import io.vavr.control.Either;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -39,6 +40,18 @@
   /** A VM empty for this long may go to a pool where tasks wait, in ms. */
   private static final long LEND_MILLIS = 600;
 
+  /** The same for a VM that its pool has been known not to need, in ms. */
+  private static final long LEND_SURPLUS_MILLIS = 200;
+
+  /**
+   * A VM that is empty for this long, in ms, and could not be moved gets tasks again: nothing may
+   * wait for 3 s beside VMs that are idle.
+   */
+  private static final long SURPLUS_IDLE_MILLIS = 2_700;
+
+  /** Pause between two looks at which VMs are needed, in ms. */
+  private static final long SURPLUS_INTERVAL_MILLIS = 50;
+
   /** The part of a pool's capacity that comes free before a moved VM would arrive. */
   private static final double SOON_FREE_PART = 0.25;
 
@@ -80,6 +93,8 @@
   private final Map<String, Move> moves = new HashMap<>();
   private final Map<String, Long> retryAt = new HashMap<>();
   private final Map<Worker, Long> emptySince = new HashMap<>();
+  private ImmutableSet<Worker> surplus = ImmutableSet.of();
+  private long nextSurplusMillis;
   private final Map<String, Long> nextShortLog = new HashMap<>();
   private final Set<String> impossible = new HashSet<>();
   private long term;
@@ -117,6 +132,7 @@
     moves.clear();
     retryAt.clear();
     emptySince.clear();
+    surplus = ImmutableSet.of();
   }
 
   /** Decides by what the last round of placement had no room for. */
@@ -126,6 +142,7 @@
       return;
     }
     observe(nowMillis);
+    findSurplus(known.get(), backlog, nowMillis);
     list.tick(nowMillis);
     if (!list.isFresh(nowMillis)) {
       return;
@@ -138,6 +155,41 @@
     queues.standbyPool().ifPresent(off -> powerOff(off, known.get(), backlog, nowMillis));
   }
 
+  /** Whether a worker gets no tasks of jobs that come too late, as its pool does not need it. */
+  boolean isSurplus(Worker worker) {
+    return surplus.contains(worker);
+  }
+
+  private void findSurplus(FleetSettings known, Backlog backlog, long nowMillis) {
+    if (nowMillis < nextSurplusMillis) {
+      return;
+    }
+    nextSurplusMillis = nowMillis + SURPLUS_INTERVAL_MILLIS;
+    ImmutableSet.Builder<Worker> found = ImmutableSet.builder();
+    for (ServiceConfig pool : known.services().values()) {
+      boolean isWantedElsewhere =
+          queues.standbyPool().isPresent()
+              || known.services().keySet().stream()
+                  .anyMatch(other -> !other.equals(pool.name()) && backlog.in(other).tasks() > 0);
+      if (!pool.standby() && isWantedElsewhere) {
+        List<Worker> own = stayingIn(pool.name());
+        Resources needed = needed(pool.name(), backlog, nowMillis);
+        SurplusWorkers.of(own, needed, MIN_WORKERS).stream()
+            .filter(worker -> emptyMillis(worker, nowMillis) < SURPLUS_IDLE_MILLIS)
+            .forEach(found::add);
+      }
+    }
+    surplus = found.build();
+  }
+
+  private long emptyMillis(Worker worker, long nowMillis) {
+    return nowMillis - emptySince.getOrDefault(worker, nowMillis);
+  }
+
+  private List<Worker> stayingIn(String pool) {
+    return workers.listedIn(pool).stream().filter(worker -> worker.cordon.isEmpty()).toList();
+  }
+
   private void observe(long nowMillis) {
     Set<Worker> present = new HashSet<>(workers.all());
     emptySince.keySet().retainAll(present);
@@ -176,7 +228,7 @@
 
   private void grow(String pool, Backlog backlog, long nowMillis) {
     Backlog.Waiting waiting = backlog.in(pool);
-    Resources needed = needed(pool, nowMillis);
+    Resources needed = neededAtRate(pool, nowMillis);
     if (waiting.tasks() == 0 && needed.equals(Resources.NONE)) {
       return;
     }
@@ -224,8 +276,8 @@
     return (int) Math.ceil(Math.max(cpu, Math.max(memory, accelerators)));
   }
 
-  /** What runs in a pool, as work arrives now, and what lasts there. */
-  private Resources needed(String pool, long nowMillis) {
+  /** What a pool needs for the work that arrives, and for what lasts there. */
+  private Resources neededAtRate(String pool, long nowMillis) {
     Resources arriving = demand.in(pool, nowMillis);
     if (arriving.equals(Resources.NONE)) {
       return Resources.NONE;
@@ -235,25 +287,34 @@
             (long) (arriving.cpuMillis() * HEADROOM),
             (long) (arriving.memoryMb() * HEADROOM),
             (long) Math.ceil(arriving.accelerators() * HEADROOM));
+    return needed.plus(reserved(pool, task -> task.step.lasting()));
+  }
+
+  /** What a pool needs for jobs that last or can be in time: at rate, or what there is of them. */
+  private Resources needed(String pool, Backlog backlog, long nowMillis) {
+    Resources present = reserved(pool, SurplusWorkers::needsRoom).plus(backlog.in(pool).need());
+    return neededAtRate(pool, nowMillis).max(present);
+  }
+
+  private Resources reserved(String pool, Predicate<Task> counts) {
+    Resources sum = Resources.NONE;
     for (Worker worker : workers.listedIn(pool)) {
       for (Task task : worker.tasks()) {
-        if (task.step.lasting()) {
-          needed = needed.plus(task.step.reserved());
+        if (counts.test(task)) {
+          sum = sum.plus(task.step.reserved());
         }
       }
     }
-    return needed;
+    return sum;
   }
 
   /** Whether a pool can do with one VM less for work at the rate that it arrives at. */
-  private boolean canSpareOne(String pool, Resources one, long nowMillis) {
+  private boolean canSpareOne(String pool, Resources one, Backlog backlog, long nowMillis) {
     Resources left = Resources.NONE.minus(one);
-    for (Worker worker : workers.listedIn(pool)) {
-      if (worker.cordon.isEmpty()) {
-        left = left.plus(worker.entry.capacity());
-      }
+    for (Worker worker : stayingIn(pool)) {
+      left = left.plus(worker.entry.capacity());
     }
-    return left.fits(needed(pool, nowMillis));
+    return left.fits(needed(pool, backlog, nowMillis));
   }
 
   private static double part(double amount, long of) {
@@ -272,13 +333,14 @@
     for (Map.Entry<Worker, Long> entry : emptySince.entrySet()) {
       Worker worker = entry.getKey();
       String from = worker.entry.service();
-      boolean isIdle = nowMillis - entry.getValue() >= LEND_MILLIS;
+      long lendMillis = surplus.contains(worker) ? LEND_SURPLUS_MILLIS : LEND_MILLIS;
+      boolean isIdle = nowMillis - entry.getValue() >= lendMillis;
       boolean isFree =
           !from.equals(pool)
               && backlog.in(from).tasks() == 0
               && workers.listedIn(from).size() > MIN_WORKERS
               && isMovable(worker, pool, nowMillis)
-              && canSpareOne(from, worker.entry.capacity(), nowMillis);
+              && canSpareOne(from, worker.entry.capacity(), backlog, nowMillis);
       if (isIdle && isFree) {
         return Optional.of(worker.entry.machine());
       }
@@ -316,13 +378,13 @@
       return "cordoned";
     } else if (!worker.isSettled()) {
       return worker.tasks().stream().allMatch(task -> task.step.lasting()) ? "lasting" : "busy";
-    } else if (nowMillis - emptySince.getOrDefault(worker, nowMillis) < LEND_MILLIS) {
+    } else if (emptyMillis(worker, nowMillis) < LEND_MILLIS) {
       return "just_idle";
     } else if (backlog.in(from).tasks() > 0) {
       return "own_backlog";
     } else if (!journal.mayOrder(worker.entry.machine(), nowMillis)) {
       return "paused";
-    } else if (!canSpareOne(from, worker.entry.capacity(), nowMillis)) {
+    } else if (!canSpareOne(from, worker.entry.capacity(), backlog, nowMillis)) {
       return "needed";
     }
     return isMovable(worker, pool, nowMillis) ? "smallest_pool" : "not_movable";
@@ -363,7 +425,7 @@
               && isUnneeded
               && hasRoom
               && isMovable(worker, off, nowMillis)
-              && canSpareOne(from, worker.entry.capacity(), nowMillis);
+              && canSpareOne(from, worker.entry.capacity(), backlog, nowMillis);
       if (isSpared) {
         move(worker.entry.machine(), off, "idle", nowMillis);
       }
@@ -371,7 +433,7 @@
   }
 
   private long staying(String pool) {
-    return workers.listedIn(pool).stream().filter(worker -> worker.cordon.isEmpty()).count();
+    return stayingIn(pool).size();
   }
 
   private void move(String machine, String pool, String reason, long nowMillis) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -135,7 +135,7 @@
     this.waveStatus = new WaveStatus(store, clock, lease, formats);
     this.advice = new AdviceDesk(advicePort, clock, log);
     this.placement =
-        new Placement(queues, workers, new JobOrder(durations), quarantine, advice, log);
+        new Placement(queues, workers, durations, quarantine, advice, poolSizer::isSurplus, log);
   }
 
   /** A scheduler that does not hold the lease yet. */
