--- a/entry/src/main/java/org/sassafraslink/entry/process/EventMetrics.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EventMetrics.java
@@ -37,7 +37,8 @@
           "job.seen", "sinceAccepted",
           "task.started", "sinceAccepted",
           "task.ended", "ran",
-          "job.finished", "sinceAccepted");
+          "job.finished", "sinceAccepted",
+          "job.shown", "sinceFinished");
 
   /** Upper bounds of the buckets, in seconds: from one call to the store to a lost job. */
   private static final double[] BUCKETS = {.01, .02, .05, .1, .2, .5, 1, 2, 5, 10, 20};
@@ -56,7 +57,7 @@
   private final Histogram hops =
       Histogram.builder()
           .name("sassafraslink_hop_seconds")
-          .help("Time from the acceptance of a job to an event of it")
+          .help("Time that a hop of a job took, or from its acceptance to the event")
           .labelNames("event")
           .classicOnly()
           .classicUpperBounds(BUCKETS)
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobBook.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobBook.java
@@ -214,6 +214,7 @@
   /** Gives a job its final state and ends what still runs of it. */
   private void finish(Job job, JobState state) {
     job.state = state;
+    job.finishedMillis = clock.monotonicMillis();
     committer.add(job, true);
     job.forEachTask(
         task -> {
@@ -340,6 +341,14 @@
   public void onCommitted(Job job) {
     if (job.finalCommitted) {
       finalRows.add(job.spec.id(), job.state, Optional.empty());
+      log.log(
+          "job.shown",
+          "job",
+          job.spec.id(),
+          "state",
+          job.state,
+          "sinceFinished",
+          clock.monotonicMillis() - job.finishedMillis);
       forgetIfOver(job);
     } else if (!job.state.isFinal()) {
       job.forEachTask(
