--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Orders.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Orders.java
@@ -85,6 +85,19 @@
     send(task);
   }
 
+  /** Lasting tasks leave a worker that is about to go; short ones may still end there. */
+  void leaveDraining(Iterable<Worker> workers) {
+    for (Worker worker : workers) {
+      if (worker.entry.draining() && !worker.isEmpty()) {
+        for (Task task : worker.tasks()) {
+          if (task.step.lasting() && task.phase == TaskPhase.RUNNING) {
+            stop(task, "worker_draining");
+          }
+        }
+      }
+    }
+  }
+
   /** Ends the current attempt of a task, whether it has arrived at the worker or not. */
   void stop(Task task, String reason) {
     if (!task.phase.maySeeWorker() || task.phase == TaskPhase.STOPPING) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -5,7 +5,6 @@
 import org.sassafraslink.api.fleet.AdvicePort;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
-import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.MachinePort;
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
@@ -27,12 +26,6 @@
   /** Added to the expiry of leases that earlier schedulers granted, in ms. */
   private static final long EARLIER_LEASE_SLACK_MILLIS = 300;
 
-  /** Pause between two rounds of placement, in ms, so that events that come together share one. */
-  private static final long PLACEMENT_MILLIS = 5;
-
-  /** A round of placement is made at least this often, in ms. */
-  private static final long PLACEMENT_MAX_MILLIS = 100;
-
   private final FleetClock clock;
   private final EventLog log;
   private final SchedulerSettings settings;
@@ -52,6 +45,7 @@
   private final AdviceDesk advice;
   private final Quarantine quarantine;
   private final Placement placement;
+  private final PlacementRounds rounds;
   private final RunLists runLists;
   private final WaveStatus waveStatus;
   private final QueueBook queues = new QueueBook();
@@ -64,7 +58,6 @@
   /** Whether the jobs of the rows are taken over. */
   private boolean active;
 
-  private long placedMillis;
   private long acquiredMillis;
 
   private Scheduler(
@@ -119,23 +112,30 @@
             machinePort, clock, log, lease, settings, workers, machineList, journal, actions);
     this.poolSizer =
         new PoolSizer(
-            machinePort,
-            clock,
             log,
             lease,
-            settings,
             workers,
             queues,
-            demand,
+            new PoolNeeds(workers, demand),
             machineList,
-            journal,
-            actions,
+            new VmMoves(
+                machinePort,
+                clock,
+                log,
+                lease,
+                settings,
+                workers,
+                queues,
+                machineList,
+                journal,
+                actions),
             maintenance::isPending);
     this.pendingCounts = new PendingCounts(store, lease);
     this.waveStatus = new WaveStatus(store, clock, lease, formats);
     this.advice = new AdviceDesk(advicePort, clock, log);
     this.placement =
         new Placement(queues, workers, durations, quarantine, advice, poolSizer::isSurplus, log);
+    this.rounds = new PlacementRounds(clock, jobs, placement, committer);
   }
 
   /** A scheduler that does not hold the lease yet. */
@@ -203,8 +203,8 @@
     orders.tick(now);
     journal.tick(now);
     maintenance.tick(placement.backlog(), now);
-    leaveDrainingWorkers();
-    place(now);
+    orders.leaveDraining(workers.all());
+    rounds.tick(now);
     poolSizer.tick(placement.backlog(), now);
     committer.tick(now);
     pendingCounts.tick(jobs.all(), now);
@@ -212,39 +212,6 @@
     finalRows.tick(now);
   }
 
-  private void place(long now) {
-    long since = now - placedMillis;
-    boolean isDue = since >= PLACEMENT_MILLIS && jobs.takeChanged();
-    if (isDue || since >= PLACEMENT_MAX_MILLIS) {
-      placedMillis = now;
-      for (Job job : placement.run(jobs.all(), now, clock.wallMillis())) {
-        if (job.state == JobState.QUEUED) {
-          job.state = JobState.RUNNING;
-        }
-        committer.add(job, true);
-        job.forEachTask(
-            task -> {
-              if (task.phase == TaskPhase.ASSIGNED && task.startAfterChange <= 0) {
-                task.startAfterChange = job.changes;
-              }
-            });
-      }
-    }
-  }
-
-  /** Lasting tasks leave a worker that is about to go; short ones may still end there. */
-  private void leaveDrainingWorkers() {
-    for (Worker worker : workers.all()) {
-      if (worker.entry.draining() && !worker.isEmpty()) {
-        for (Task task : worker.tasks()) {
-          if (task.step.lasting() && task.phase == TaskPhase.RUNNING) {
-            orders.stop(task, "worker_draining");
-          }
-        }
-      }
-    }
-  }
-
   private void activateIfLoaded() {
     if (!feed.isLoaded() || !workers.isLoaded() || !queues.isKnown()) {
       return;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -51,26 +51,6 @@
   private static final RowKey RENEWAL = new RowKey(TABLE, JobRows.PART, "renewal");
   private static final String RELEASED = "released";
 
-  /** What the holder row says. */
-  private record Holder(String node, String process, long epoch, String address) {
-    static final Holder NOBODY = new Holder("", "", 0, "");
-
-    String encode() {
-      return node + " " + process + " " + epoch + " " + address;
-    }
-
-    static Holder decode(String value) {
-      String[] parts = value.split(" ", -1);
-      try {
-        return parts.length == 4
-            ? new Holder(parts[0], parts[1], Long.parseLong(parts[2]), parts[3])
-            : NOBODY;
-      } catch (NumberFormatException e) {
-        return NOBODY;
-      }
-    }
-  }
-
   /** Hears of the lease; called on the scheduler's thread. */
   interface Listener {
     /** This process schedules from now on. */
@@ -99,7 +79,7 @@
   private boolean stopping;
   private long nextCallMillis;
 
-  private Holder holder = Holder.NOBODY;
+  private LeaseHolder holder = LeaseHolder.NOBODY;
   private long holderVersion;
   private long renewalVersion;
   private boolean released;
@@ -222,8 +202,9 @@
   }
 
   private void takeOver(long nowMillis) {
-    Holder next =
-        new Holder(settings.node(), settings.process(), holder.epoch() + 1, settings.peerAddress());
+    LeaseHolder next =
+        new LeaseHolder(
+            settings.node(), settings.process(), holder.epoch() + 1, settings.peerAddress());
     Change change =
         new Change(
             ImmutableList.of(
@@ -344,7 +325,7 @@
     if (find(answer.get().rows(), RENEWAL).isEmpty()) {
       renewalVersion = RowStore.ABSENT;
       holderVersion = RowStore.ABSENT;
-      holder = Holder.NOBODY;
+      holder = LeaseHolder.NOBODY;
     }
     answer.get().rows().forEach(row -> take(row, now));
   }
@@ -365,7 +346,7 @@
 
   private void take(StoredRow row, long nowMillis) {
     if (row.key().key().equals(HOLDER.key())) {
-      Holder seen = Holder.decode(row.value());
+      LeaseHolder seen = LeaseHolder.decode(row.value());
       boolean isOther = !seen.process().equals(holder.process());
       holder = seen;
       holderVersion = row.version();
@@ -382,7 +363,7 @@
     }
   }
 
-  private void onHolderGone(Holder gone) {
+  private void onHolderGone(LeaseHolder gone) {
     if (!holding && holder.process().equals(gone.process())) {
       log.log("lease.holder_gone", "node", gone.node(), "epoch", gone.epoch());
       holderGone = true;
