Write the rates of suppressed log lines once a second

A line log.suppressed now has the number of suppressed lines by event name of one second, if there are any. It takes the same path as all lines, is at most one line more a second, and leaves the limit of 200 lines as it is.

--- a/api/src/main/java/org/sassafraslink/api/log/EventLog.java
+++ b/api/src/main/java/org/sassafraslink/api/log/EventLog.java
@@ -13,7 +13,9 @@
  *
  * <p>The volume is bounded: at most {@link #MAX_LINES_PER_SECOND} lines are written for each event
  * name in a second. Further lines are suppressed, and their number is written in the next line with
- * that event name.
+ * that event name. In addition, the first line after a second in which lines were suppressed is
+ * preceded by a line {@code log.suppressed} with their number by event name, so that the rate of
+ * each event can be read from the log. That is at most one line more a second.
  */
 public final class EventLog {
   /** Maximum number of lines for one event name in one second. */
@@ -21,6 +23,8 @@
 
   private static final long WINDOW_MILLIS = 1_000;
 
+  private static final String SUPPRESSED_EVENT = "log.suppressed";
+
   /** Receives every event, including those whose line is suppressed. */
   @FunctionalInterface
   public interface Observer {
@@ -33,6 +37,7 @@
   private final Consumer<String> sink;
   private final Observer observer;
   private final Map<String, RateWindow> windowByEvent = new HashMap<>();
+  private final SuppressedLineCounts suppressedCounts = new SuppressedLineCounts();
 
   private EventLog(String node, LongSupplier wallMillis, Consumer<String> sink, Observer observer) {
     this.node = node;
@@ -74,12 +79,19 @@
   public void log(String event, Object... fields) {
     observer.onEvent(event, fields);
     long now = wallMillis.getAsLong();
-    long suppressed = admitLine(event, now);
+    SuppressedLineCounts.Second endedSecond;
+    long suppressed;
+    synchronized (this) {
+      endedSecond = suppressedCounts.endSecondBefore(now);
+      suppressed = admitLine(event, now);
+    }
+    if (!endedSecond.isEmpty()) {
+      writeSuppressedCounts(endedSecond, now);
+    }
     if (suppressed < 0) {
       return;
     }
-    ObjectNode line = JsonNodeFactory.instance.objectNode();
-    line.put("t", now).put("node", node).put("event", event);
+    ObjectNode line = newLine(event, now);
     for (int i = 0; i + 1 < fields.length; i += 2) {
       putField(line, String.valueOf(fields[i]), fields[i + 1]);
     }
@@ -89,6 +101,21 @@
     sink.accept(line.toString());
   }
 
+  private void writeSuppressedCounts(SuppressedLineCounts.Second second, long now) {
+    ObjectNode line = newLine(SUPPRESSED_EVENT, now).put("second", second.startMillis());
+    ObjectNode lines = line.putObject("lines");
+    second.linesByEvent().forEach(lines::put);
+    sink.accept(line.toString());
+  }
+
+  private ObjectNode newLine(String event, long now) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("t", now)
+        .put("node", node)
+        .put("event", event);
+  }
+
   private static void putField(ObjectNode line, String name, Object value) {
     if (value instanceof Long number) {
       line.put(name, number);
@@ -104,12 +131,12 @@
   }
 
   /**
-   * Decides whether to write a line for {@code event}.
+   * Decides whether to write a line for {@code event}. Called with the lock of this log held.
    *
    * @return the number of suppressed lines since the last one that was written, or -1 if this line
    *     is suppressed too
    */
-  private synchronized long admitLine(String event, long now) {
+  private long admitLine(String event, long now) {
     RateWindow window = windowByEvent.computeIfAbsent(event, name -> new RateWindow());
     if (Math.abs(now - window.startMillis) >= WINDOW_MILLIS) {
       window.startMillis = now;
@@ -117,6 +144,7 @@
     }
     if (window.lines >= MAX_LINES_PER_SECOND) {
       window.suppressed++;
+      suppressedCounts.count(event);
       return -1;
     }
     window.lines++;
