Log how busy the scheduler's thread is, once a second

SchedulerLoad counts passes, placement rounds and transactions, their longest durations, the longest wait and the greatest length of the event queue, and the longest time from an assignment to its commit. A line scheduler.load once a second and gauges of the metrics server have the figures. The processor time of the thread is read once a second, since it costs a system call; less of it than busy time means that the VM did not let the thread run. The condition for a committed start moves to Task, as two classes need it now.

The cost of the measurements was not measured.

--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -121,6 +121,7 @@
         "sassafraslink_scheduling",
         "1 while this process holds the scheduling lease",
         () -> scheduler.isScheduling() ? 1 : 0);
+    SchedulerLoadGauges.register(metrics, scheduler.load()::lastSecond);
     metrics.registerGauge(
         "sassafraslink_requests_in_flight",
         "Requests of callers that have no answer yet",
--- a/entry/src/main/java/org/sassafraslink/entry/process/SchedulerThread.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/SchedulerThread.java
@@ -1,5 +1,7 @@
 package org.sassafraslink.entry.process;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -8,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.Scheduler;
+import org.sassafraslink.scheduler.SchedulerLoad;
 
 /**
  * Runs the events for the scheduler and its due work on one thread. The thread reads the events
@@ -27,7 +30,12 @@
   /** Longest wait for an event while this process does not hold the lease, in ms. */
   private static final long MAX_STANDBY_WAIT_MILLIS = 60;
 
-  private final BlockingQueue<Runnable> eventQueue = new ArrayBlockingQueue<>(EVENT_QUEUE_CAPACITY);
+  /** An event, and when it was passed to {@link #execute}, by {@link System#nanoTime}. */
+  private record QueuedEvent(Runnable event, long queuedNanos) {}
+
+  private final BlockingQueue<QueuedEvent> eventQueue =
+      new ArrayBlockingQueue<>(EVENT_QUEUE_CAPACITY);
+  private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
   private final EventLog log;
   private volatile boolean stopping;
 
@@ -48,7 +56,7 @@
   @Override
   public void execute(Runnable event) {
     try {
-      eventQueue.put(event);
+      eventQueue.put(new QueuedEvent(event, System.nanoTime()));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       log.log("scheduler.event_dropped", "reason", "interrupted");
@@ -56,19 +64,29 @@
   }
 
   private void runLoop(Scheduler scheduler) {
-    List<Runnable> batch = new ArrayList<>();
+    SchedulerLoad load = scheduler.load();
+    List<QueuedEvent> batch = new ArrayList<>();
     while (!stopping) {
       try {
         long maxWaitMillis =
             scheduler.isScheduling() ? MAX_HOLDER_WAIT_MILLIS : MAX_STANDBY_WAIT_MILLIS;
-        Runnable firstEvent = eventQueue.poll(maxWaitMillis, TimeUnit.MILLISECONDS);
+        QueuedEvent firstEvent = eventQueue.poll(maxWaitMillis, TimeUnit.MILLISECONDS);
+        long startNanos = System.nanoTime();
         if (firstEvent != null) {
           batch.add(firstEvent);
           eventQueue.drainTo(batch);
+          load.recordBatch(batch.size(), startNanos - firstEvent.queuedNanos());
         }
-        batch.forEach(this::runEvent);
+        batch.forEach(queued -> runEvent(queued.event()));
         batch.clear();
+        long passStartNanos = System.nanoTime();
         scheduler.runDueWork();
+        long endNanos = System.nanoTime();
+        load.recordPass(passStartNanos - startNanos, endNanos - passStartNanos);
+        load.endIntervalIfDue(
+            TimeUnit.NANOSECONDS.toMillis(endNanos),
+            this::processorNanos,
+            scheduler.isScheduling());
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
@@ -83,6 +101,11 @@
     }
   }
 
+  /** Returns the processor time of this thread, or 0 if the JVM does not measure it. */
+  private long processorNanos() {
+    return threads.isCurrentThreadCpuTimeSupported() ? threads.getCurrentThreadCpuTime() : 0;
+  }
+
   private void runEvent(Runnable event) {
     try {
       event.run();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobProgressWriter.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobProgressWriter.java
@@ -70,6 +70,7 @@
   private final FleetClock clock;
   private final EventLog log;
   private final SchedulerLease lease;
+  private final SchedulerLoad load;
   private final Listener listener;
 
   /** The jobs with uncommitted changes. */
@@ -85,11 +86,17 @@
   private long generation;
 
   JobProgressWriter(
-      RowStore store, FleetClock clock, EventLog log, SchedulerLease lease, Listener listener) {
+      RowStore store,
+      FleetClock clock,
+      EventLog log,
+      SchedulerLease lease,
+      SchedulerLoad load,
+      Listener listener) {
     this.store = store;
     this.clock = clock;
     this.log = log;
     this.lease = lease;
+    this.load = load;
     this.listener = listener;
   }
 
@@ -114,6 +121,7 @@
 
   /** Sends the next transaction if a change is urgent or has waited long enough. */
   void commitIfDue(long nowMillis) {
+    load.recordDirtyJobs(dirtyJobs.size());
     if (commitPending || dirtyJobs.isEmpty() || nowMillis < nextCommitMillis || !lease.isValid()) {
       return;
     }
@@ -144,6 +152,7 @@
       characters += addEntries(job, expectations, puts, deletes);
     }
     Transaction transaction = new Transaction(expectations.build(), puts.build(), deletes.build());
+    load.recordTransaction();
     commitPending = true;
     urgent = dirtyJobs.size() > sentChangeByJob.size() && urgent;
     long sentGeneration = generation;
@@ -217,6 +226,7 @@
           } else {
             job.uncommittedSinceMillis = clock.monotonicMillis();
           }
+          load.recordCommit(job, clock.monotonicMillis());
           committed.add(job);
         });
     committed.forEach(listener::onCommitted);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -367,11 +367,7 @@
     } else if (!job.state.isFinal()) {
       job.forEachTask(
           task -> {
-            boolean isCommitted =
-                task.phase == TaskPhase.ASSIGNED
-                    && task.startAfterChange > 0
-                    && task.startAfterChange <= job.lastCommittedChange;
-            if (isCommitted) {
+            if (task.isStartCommitted()) {
               task.startAfterChange = 0;
               commandSender.start(task);
             }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PlacementRounds.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PlacementRounds.java
@@ -1,5 +1,6 @@
 package org.sassafraslink.scheduler;
 
+import java.util.Set;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.JobState;
 
@@ -15,14 +16,20 @@
   private final JobRegistry jobs;
   private final Placement placement;
   private final JobProgressWriter progressWriter;
+  private final SchedulerLoad load;
   private long lastRoundMillis;
 
   PlacementRounds(
-      FleetClock clock, JobRegistry jobs, Placement placement, JobProgressWriter progressWriter) {
+      FleetClock clock,
+      JobRegistry jobs,
+      Placement placement,
+      JobProgressWriter progressWriter,
+      SchedulerLoad load) {
     this.clock = clock;
     this.jobs = jobs;
     this.placement = placement;
     this.progressWriter = progressWriter;
+    this.load = load;
   }
 
   /** Runs a placement round if one is due. */
@@ -31,14 +38,16 @@
     boolean isDue = sinceLastRoundMillis >= MIN_INTERVAL_MILLIS && jobs.consumePlacementRequest();
     if (isDue || sinceLastRoundMillis >= MAX_INTERVAL_MILLIS) {
       lastRoundMillis = nowMillis;
-      placement
-          .placeWaitingTasks(jobs.all(), nowMillis, clock.wallMillis())
-          .forEach(this::queueCommit);
+      long startMillis = clock.monotonicMillis();
+      Set<Job> changedJobs = placement.placeWaitingTasks(jobs.all(), nowMillis, clock.wallMillis());
+      long endMillis = clock.monotonicMillis();
+      load.recordRound(endMillis - startMillis);
+      changedJobs.forEach(job -> queueCommit(job, endMillis));
     }
   }
 
   /** Queues the assignments of a job for the next commit, after which the starts are sent. */
-  private void queueCommit(Job job) {
+  private void queueCommit(Job job, long assignedMillis) {
     if (job.state == JobState.QUEUED) {
       job.state = JobState.RUNNING;
     }
@@ -47,6 +56,7 @@
         task -> {
           if (task.phase == TaskPhase.ASSIGNED && task.startAfterChange <= 0) {
             task.startAfterChange = job.lastChange;
+            task.assignedMillis = assignedMillis;
           }
         });
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -40,6 +40,7 @@
   private final VmCommandLog commandLog;
   private final MaintenanceController maintenance;
   private final PoolAutoscaler autoscaler;
+  private final SchedulerLoad load;
   private final PendingJobCounts pendingCounts;
   private final FinishedJobCleaner jobCleaner;
   private final AdviceTicketCache adviceTickets;
@@ -94,7 +95,8 @@
             demandRate,
             lease::onFenced);
     this.jobFeed = new JobFeed(tracked, clock, log, new JobFeedListener());
-    this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, jobs);
+    this.load = new SchedulerLoad(log);
+    this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, load, jobs);
     this.commandSender =
         new TaskCommandSender(workerClient, clock, log, lease, settings, new TaskCommandListener());
     jobs.setWriterAndSender(progressWriter, commandSender);
@@ -141,7 +143,7 @@
     this.placement =
         new Placement(
             config, workers, durationModel, quarantine, adviceTickets, autoscaler::isSurplus, log);
-    this.placementRounds = new PlacementRounds(clock, jobs, placement, progressWriter);
+    this.placementRounds = new PlacementRounds(clock, jobs, placement, progressWriter, load);
   }
 
   /** Creates a scheduler that does not hold the lease yet. */
@@ -178,6 +180,11 @@
     return jobsRestored && lease.isValid();
   }
 
+  /** Returns the measurements of the thread that calls {@link #runDueWork}. */
+  public SchedulerLoad load() {
+    return load;
+  }
+
   /** Returns the last known holder of the lease, by node name; empty if there is none. */
   public String holderNode() {
     return lease.holderNode();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -39,6 +39,9 @@
    */
   long startAfterChange;
 
+  /** When the placement round that assigned the current attempt ended, monotonic ms. */
+  long assignedMillis;
+
   /**
    * Whether the attempt was restored from the job's progress row. An earlier scheduler may have
    * sent its start, which the worker rejects once it knows this scheduler's fencing token.
@@ -97,6 +100,13 @@
     return phase == TaskPhase.RUNNING && speedPercent >= 100 && worker.hasRecentReport(nowMillis);
   }
 
+  /** Returns whether its assignment was committed and its first start is still to be sent. */
+  boolean isStartCommitted() {
+    return phase == TaskPhase.ASSIGNED
+        && startAfterChange > 0
+        && startAfterChange <= job.lastCommittedChange;
+  }
+
   /** Assigns the task to a worker for its next attempt. */
   void assign(Worker targetWorker, int nextAttempt, String adviceTicket) {
     phase = TaskPhase.ASSIGNED;
