Log the state of each pool once a second

The logs showed neither the tasks that wait because their jobs are late or excess, since Backlog leaves them out, nor how many workers stood empty beside them.

A line pool.state for each pool has its workers, the moves to it, capacity, reserved and needed cores, and the tasks that could start, by why they wait: in time, late or excess, or their team is at its limit. PoolStateLog counts them itself, by the same passage over the jobs as a placement round, so that Backlog and Placement stay as they are.

The cost of the lines was not measured.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -40,6 +40,7 @@
   private final VmCommandLog commandLog;
   private final MaintenanceController maintenance;
   private final PoolAutoscaler autoscaler;
+  private final PoolStateLog poolStateLog;
   private final SchedulerLoad load;
   private final PendingJobCounts pendingCounts;
   private final FinishedJobCleaner jobCleaner;
@@ -117,26 +118,32 @@
     this.maintenance =
         new MaintenanceController(
             vmClient, clock, log, lease, settings, workers, vmInventory, commandLog, actions);
+    PoolDemand poolDemand = new PoolDemand(workers, demandRate);
+    VmMover vmMover =
+        new VmMover(
+            vmClient,
+            clock,
+            log,
+            lease,
+            settings,
+            workers,
+            config,
+            vmInventory,
+            commandLog,
+            actions);
     this.autoscaler =
         new PoolAutoscaler(
             log,
             lease,
             workers,
             config,
-            new PoolDemand(workers, demandRate),
+            poolDemand,
             vmInventory,
-            new VmMover(
-                vmClient,
-                clock,
-                log,
-                lease,
-                settings,
-                workers,
-                config,
-                vmInventory,
-                commandLog,
-                actions),
+            vmMover,
             maintenance::isDueForMaintenance);
+    this.poolStateLog =
+        new PoolStateLog(
+            log, config, workers::listedInPool, poolDemand::neededResources, vmMover::countMovesTo);
     this.pendingCounts = new PendingJobCounts(store, lease);
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
     this.adviceTickets = new AdviceTicketCache(adviceClient, clock, log);
@@ -223,6 +230,7 @@
     pendingCounts.writeIfDue(jobs.all(), now);
     waveStatusWriter.writeIfDue(now);
     jobCleaner.cleanIfDue(now);
+    poolStateLog.writeIfDue(jobs.all(), placement.backlog(), now, clock.wallMillis());
   }
 
   private void restoreJobsIfLoaded() {
