Let the scheduler's simulation move VMs between several pools

FakeVmPlatform lists, moves and maintains simulated VMs: a command ends the VM's worker, and a new worker appears in the target pool after 1.5 s, none in the standby pool. It accepts a given number of moves a second and answers the others with NOT_PERFORMED, as HttpVmClient reports the status 429. SimLayout holds what differs between fleets. SimFleet.start with a number of workers still plays one pool whose VMs cannot be moved.

--- /dev/null
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
@@ -0,0 +1,154 @@
+package org.sassafraslink.scheduler.sim;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.VmClient;
+
+/**
+ * A simulated platform that lists, moves and maintains VMs. A command ends the worker on the VM;
+ * afterwards a new worker starts there, unless the VM is in the standby pool.
+ */
+final class FakeVmPlatform implements VmClient {
+  /** Duration of a move, in ms. */
+  static final long MOVE_MILLIS = 1_500;
+
+  /** Duration of the maintenance of a VM, in ms. */
+  static final long MAINTENANCE_MILLIS = 2_000;
+
+  private static final long CALL_LATENCY_MILLIS = 4;
+  private static final long RATE_WINDOW_MILLIS = 1_000;
+
+  private static final class FakeVm {
+    private String pool;
+    private VmState state = VmState.UP;
+    private String workerId = "";
+    private int workersStarted;
+
+    FakeVm(String pool) {
+      this.pool = pool;
+    }
+  }
+
+  private final SimFleet fleet;
+  private final int movesPerSecond;
+  private final Map<String, FakeVm> vms = new LinkedHashMap<>();
+  private final Deque<Long> recentMoveMillis = new ArrayDeque<>();
+  private long highestFencingToken;
+
+  /**
+   * Creates a platform without VMs.
+   *
+   * @param movesPerSecond the number of moves that it accepts in a second
+   */
+  FakeVmPlatform(SimFleet fleet, int movesPerSecond) {
+    this.fleet = fleet;
+    this.movesPerSecond = movesPerSecond;
+  }
+
+  /** Adds a VM that is up, and starts a worker on it unless it is in the standby pool. */
+  void addVm(String id, String pool) {
+    vms.put(id, new FakeVm(pool));
+    startWorkerIfPoweredOn(id);
+  }
+
+  private void startWorkerIfPoweredOn(String id) {
+    FakeVm vm = vms.get(id);
+    if (!vm.pool.equals(SimLayout.STANDBY_POOL)) {
+      vm.workersStarted++;
+      vm.workerId = id + "-" + vm.workersStarted;
+      fleet.startWorker(vm.workerId, vm.pool, id);
+    }
+  }
+
+  @Override
+  public void list(Consumer<Either<CallFailure, ImmutableList<Vm>>> callback) {
+    respond(callback, () -> Either.right(listVms()));
+  }
+
+  private ImmutableList<Vm> listVms() {
+    ImmutableList.Builder<Vm> list = ImmutableList.builder();
+    vms.forEach((id, vm) -> list.add(new Vm(id, vm.pool, vm.state, "zone", "r1", vm.workerId)));
+    return list.build();
+  }
+
+  @Override
+  public void move(
+      String vm,
+      String pool,
+      Authority authority,
+      Consumer<Either<CallFailure, VmReply>> callback) {
+    respond(callback, () -> acceptMove(vm, pool, authority));
+  }
+
+  private Either<CallFailure, VmReply> acceptMove(String vm, String pool, Authority authority) {
+    long now = fleet.clock.nowMillis();
+    while (!recentMoveMillis.isEmpty()
+        && recentMoveMillis.peekFirst() <= now - RATE_WINDOW_MILLIS) {
+      recentMoveMillis.pollFirst();
+    }
+    if (recentMoveMillis.size() >= movesPerSecond) {
+      // As HttpVmClient reports the status 429.
+      return Either.left(CallFailure.NOT_PERFORMED);
+    }
+    Either<CallFailure, VmReply> reply = takeDown(vm, VmState.MOVING, pool, MOVE_MILLIS, authority);
+    if (reply.equals(Either.right(VmReply.ACCEPTED))) {
+      recentMoveMillis.addLast(now);
+    }
+    return reply;
+  }
+
+  @Override
+  public void startMaintenance(
+      String vm, long wave, Authority authority, Consumer<Either<CallFailure, VmReply>> callback) {
+    respond(
+        callback,
+        () ->
+            takeDown(vm, VmState.IN_MAINTENANCE, vms.get(vm).pool, MAINTENANCE_MILLIS, authority));
+  }
+
+  /** Ends the worker of a VM; after {@code millis} ms the VM is up again, in the given pool. */
+  private Either<CallFailure, VmReply> takeDown(
+      String id, VmState stateMeanwhile, String poolAfterwards, long millis, Authority authority) {
+    FakeVm vm = vms.get(id);
+    if (vm == null) {
+      return Either.left(CallFailure.REJECTED);
+    }
+    if (authority.fencingToken() < highestFencingToken) {
+      return Either.right(VmReply.FENCED);
+    }
+    highestFencingToken = authority.fencingToken();
+    if (vm.state != VmState.UP) {
+      return Either.right(VmReply.BUSY);
+    }
+    if (!vm.workerId.isEmpty()) {
+      fleet.endWorker(vm.workerId);
+    }
+    vm.workerId = "";
+    vm.state = stateMeanwhile;
+    fleet.clock.runAfter(
+        millis,
+        () -> {
+          vm.pool = poolAfterwards;
+          vm.state = VmState.UP;
+          startWorkerIfPoweredOn(id);
+        });
+    return Either.right(VmReply.ACCEPTED);
+  }
+
+  private <T> void respond(
+      Consumer<Either<CallFailure, T>> callback, Supplier<Either<CallFailure, T>> call) {
+    fleet.clock.runAfter(
+        CALL_LATENCY_MILLIS,
+        () -> {
+          Either<CallFailure, T> response = call.get();
+          fleet.clock.runAfter(CALL_LATENCY_MILLIS, () -> callback.accept(response));
+        });
+  }
+}
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/GuaranteeChecker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/GuaranteeChecker.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.Resources;
@@ -27,6 +28,7 @@
   private final Set<TaskId> doneTasks = new HashSet<>();
   private final Set<TaskId> acknowledgedDoneTasks = new HashSet<>();
   private final Map<TaskId, Integer> failuresByTask = new HashMap<>();
+  private final Map<String, Long> firstStartMillisByJob = new HashMap<>();
   private final Map<String, Resources> limitByTeam = new HashMap<>();
   private final Map<String, Resources> usedByTeam = new HashMap<>();
 
@@ -95,6 +97,7 @@
           "attempt " + attempt + " starts after the successful end of the task was acknowledged");
     }
     runningWorkers.add(worker);
+    firstStartMillisByJob.putIfAbsent(task.job(), clock.nowMillis());
     for (int dependency : job.steps().get(task.step()).after()) {
       for (int index = 0; index < job.steps().get(dependency).count(); index++) {
         if (!doneTasks.contains(new TaskId(task.job(), task.occurrence(), dependency, index))) {
@@ -178,8 +181,13 @@
     }
   }
 
+  /** Returns when a worker first started a task of a job; empty if none has. */
+  public Optional<Long> firstStartMillis(String job) {
+    return Optional.ofNullable(firstStartMillisByJob.get(job));
+  }
+
   /** Returns whether all tasks of the first occurrence of a job have ended successfully. */
-  boolean allTasksDone(JobSpec job) {
+  public boolean allTasksDone(JobSpec job) {
     for (int step = 0; step < job.steps().size(); step++) {
       for (int index = 0; index < job.steps().get(step).count(); index++) {
         if (!doneTasks.contains(new TaskId(job.id(), 0, step, index))) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -1,27 +1,24 @@
 package org.sassafraslink.scheduler.sim;
 
+import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.failure.FailureType;
-import org.sassafraslink.api.fleet.FleetSettings;
-import org.sassafraslink.api.fleet.FleetSettings.PoolConfig;
-import org.sassafraslink.api.fleet.FleetSettings.RequestLimits;
-import org.sassafraslink.api.fleet.FleetSettings.TeamConfig;
 import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.JobState;
-import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.RowStore.Put;
@@ -29,6 +26,7 @@
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.TaskId;
+import org.sassafraslink.api.fleet.VmClient;
 import org.sassafraslink.api.fleet.WorkerEntry;
 import org.sassafraslink.scheduler.JobRows;
 import org.sassafraslink.scheduler.JobRows.Kind;
@@ -41,19 +39,22 @@
   public static final String TEAM = "bakery";
   public static final Resources TEAM_LIMIT = new Resources(40_000, 0, 0);
   private static final String WORKER_TABLE = "workers";
-  private static final Resources WORKER_CAPACITY = new Resources(8_000, 32_000, 0);
-  private static final int MAX_FAILURES = 3;
 
+  final SimLayout layout;
   public final SimClock clock = new SimClock();
   public final Random random;
   public final FakeRowStore rowStore;
   public final GuaranteeChecker guaranteeChecker;
   public final Map<String, SimNode> nodes = new LinkedHashMap<>();
   final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+  private final Map<String, String> poolByWorkerId = new HashMap<>();
   private final Map<String, JobSpec> submittedJobs = new LinkedHashMap<>();
   private long taskTimeFactor = 1;
   final Set<DisabledMechanism> disabledMechanisms = EnumSet.noneOf(DisabledMechanism.class);
 
+  /** The platform's interface for VMs; empty if it is not available. */
+  private final Optional<FakeVmPlatform> vmPlatform;
+
   /** The newest incarnation of a worker. Real ones are times in Unix ms. */
   private long lastIncarnation = 1_700_000_000_000L;
 
@@ -63,26 +64,46 @@
   /** Ids of workers on which every attempt fails. */
   public final List<String> workersThatFailAllTasks = new ArrayList<>();
 
-  private SimFleet(long seed) {
+  private SimFleet(long seed, SimLayout layout) {
+    this.layout = layout;
     random = new Random(seed);
     rowStore = new FakeRowStore(clock, random);
     guaranteeChecker = new GuaranteeChecker(clock);
     guaranteeChecker.setTeamLimit(TEAM, TEAM_LIMIT);
-    guaranteeChecker.setMaxFailuresPerTask(MAX_FAILURES);
+    guaranteeChecker.setMaxFailuresPerTask(SimLayout.MAX_FAILURES);
+    vmPlatform =
+        layout.movesPerSecond().isPresent()
+            ? Optional.of(new FakeVmPlatform(this, layout.movesPerSecond().getAsInt()))
+            : Optional.empty();
   }
 
-  /** Creates a fleet of nodes n0, n1 ... and workers w0, w1 ..., and starts them all. */
+  /**
+   * Creates a fleet of nodes n0, n1 ... and workers w0, w1 ... in one pool, and starts them all.
+   */
   public static SimFleet start(long seed, int nodeCount, int workerCount) {
-    SimFleet fleet = new SimFleet(seed);
-    for (int i = 0; i < workerCount; i++) {
-      fleet.startWorker("w" + i);
-    }
+    return start(seed, nodeCount, SimLayout.singlePool(workerCount));
+  }
+
+  /** Creates a fleet of nodes n0, n1 ... and of VMs with workers, and starts them all. */
+  public static SimFleet start(long seed, int nodeCount, SimLayout layout) {
+    SimFleet fleet = new SimFleet(seed, layout);
+    layout.vmsByPool().forEach(fleet::addVms);
     for (int i = 0; i < nodeCount; i++) {
       fleet.startNode("n" + i);
     }
     return fleet;
   }
 
+  private void addVms(String pool, int count) {
+    for (int i = 0; i < count; i++) {
+      if (vmPlatform.isPresent()) {
+        vmPlatform.get().addVm(pool + "-" + i, pool);
+      } else {
+        startWorker("w" + i);
+      }
+    }
+  }
+
   /** Multiplies the usual run times of all attempts that start from now on by {@code factor}. */
   public void multiplyTaskTimes(long factor) {
     taskTimeFactor = factor;
@@ -113,6 +134,11 @@
    * Starts a new incarnation of a worker, after crashing the one that runs under its id, if any.
    */
   public void startWorker(String id) {
+    startWorker(id, POOL, "m-" + id);
+  }
+
+  /** As {@link #startWorker(String)}, in any pool and on any VM. */
+  void startWorker(String id, String pool, String vm) {
     FakeWorker previous = workers.get(id);
     if (previous != null) {
       previous.crash();
@@ -125,10 +151,33 @@
             clock,
             new FleetTaskBehavior(),
             guaranteeChecker,
-            WORKER_CAPACITY,
+            layout.workerCapacity(),
             disabledMechanisms);
     workers.put(id, worker);
-    rowStore.putRow(WORKER_TABLE, "", id, Long.toString(lastIncarnation));
+    poolByWorkerId.put(id, pool);
+    rowStore.putRow(WORKER_TABLE, "", id, lastIncarnation + " " + pool + " " + vm);
+  }
+
+  /** Ends a worker whose VM is taken away, and deletes the row in which the platform lists it. */
+  void endWorker(String id) {
+    workers.get(id).crash();
+    rowStore.deleteRow(WORKER_TABLE, "", id);
+  }
+
+  /** Returns the workers of a pool that run. */
+  private Stream<FakeWorker> workersIn(String pool) {
+    return workers.values().stream()
+        .filter(worker -> !worker.crashed && poolByWorkerId.get(worker.id).equals(pool));
+  }
+
+  /** Returns how many workers run in a pool. */
+  public long workerCount(String pool) {
+    return workersIn(pool).count();
+  }
+
+  /** Returns how many workers of a pool run no attempt. */
+  public long emptyWorkerCount(String pool) {
+    return workersIn(pool).filter(worker -> worker.runningAttemptCount() == 0).count();
   }
 
   /**
@@ -164,12 +213,21 @@
 
   /** Stores the submission row of a job, as an entry VM does before it accepts the job. */
   public JobSpec submit(String id, StepSpec... steps) {
+    return submit(id, QUEUE, TEAM, steps);
+  }
+
+  /** As {@link #submit(String, StepSpec...)}, to an open queue. */
+  public JobSpec submitToOpenQueue(String id, String queue, StepSpec... steps) {
+    return submit(id, queue, /* team= */ "", steps);
+  }
+
+  private JobSpec submit(String id, String queue, String team, StepSpec... steps) {
     JobSpec job =
         new JobSpec(
             id,
-            QUEUE,
-            POOL,
-            TEAM,
+            queue,
+            layout.settings().queues().get(queue).pool(),
+            team,
             "payload",
             ImmutableList.copyOf(steps),
             /* repetitions= */ 0,
@@ -225,10 +283,16 @@
    * MB each, and that may start when the steps with the numbers {@code earlierSteps} are done.
    */
   public static StepSpec step(int count, int cpuMillis, Integer... earlierSteps) {
+    return stepOfMillis(500, count, cpuMillis, earlierSteps);
+  }
+
+  /** As {@link #step}, with tasks that are estimated to run for {@code estimatedMillis}. */
+  public static StepSpec stepOfMillis(
+      int estimatedMillis, int count, int cpuMillis, Integer... earlierSteps) {
     return new StepSpec(
         count,
         new Resources(cpuMillis, 100, 0),
-        /* estimatedMillis= */ 500,
+        estimatedMillis,
         ImmutableList.copyOf(earlierSteps),
         /* gang= */ false,
         /* rackLocal= */ false,
@@ -244,36 +308,9 @@
         /* maxUnavailable= */ 0);
   }
 
-  static FleetSettings settings() {
-    QueueConfig queue =
-        new QueueConfig(
-            QUEUE,
-            "host",
-            "/orders/",
-            POOL,
-            /* open= */ false,
-            /* urgent= */ true,
-            MAX_FAILURES,
-            /* slackFactor= */ 2,
-            /* targetLatencyMillis= */ 600,
-            /* advice= */ Optional.empty());
-    return new FleetSettings(
-        /* version= */ 1,
-        ImmutableMap.of(QUEUE, queue),
-        ImmutableMap.of(
-            POOL, new PoolConfig(POOL, /* enforcesCapacity= */ true, /* standby= */ false)),
-        ImmutableMap.of(
-            TEAM, new TeamConfig(TEAM, ImmutableList.of("key"), /* weight= */ 1, TEAM_LIMIT)),
-        new RequestLimits(
-            /* maxHeaderBytes= */ 8_192,
-            /* maxBodyBytes= */ 65_536,
-            /* headerTimeoutMillis= */ 3_000,
-            /* idleTimeoutMillis= */ 15_000));
-  }
-
   /**
    * Returns the row formats of this fleet: the value of a submission row is the job's id, that of a
-   * worker row is the worker's incarnation.
+   * worker row is the worker's incarnation, pool and VM, separated by spaces.
    */
   RowFormats rowFormats() {
     return new RowFormats() {
@@ -285,17 +322,18 @@
       @Override
       public Optional<WorkerEntry> decodeWorker(StoredRow row) {
         String id = row.key().key();
+        List<String> values = Splitter.on(' ').splitToList(row.value());
         return Optional.of(
             new WorkerEntry(
                 id,
-                Long.parseLong(row.value()),
-                POOL,
+                Long.parseLong(values.get(0)),
+                values.get(1),
                 InetSocketAddress.createUnresolved("worker-" + id, 1),
                 "zone",
-                "m-" + id,
+                values.get(2),
                 /* rack= */ "r1",
                 /* labels= */ ImmutableList.of("a", "r1"),
-                WORKER_CAPACITY,
+                layout.workerCapacity(),
                 /* draining= */ false));
       }
 
@@ -316,11 +354,18 @@
     };
   }
 
-  /** Attempts run for 200 to 899 ms times the factor, depending on the task and the attempt. */
+  /**
+   * Attempts run as estimated or, depending on the task and the attempt, for 200 to 899 ms; times
+   * the factor.
+   */
   private final class FleetTaskBehavior implements FakeWorker.TaskBehavior {
     @Override
     public long runMillis(TaskId task, int attempt) {
-      return taskTimeFactor * (200L + Math.floorMod(task.hashCode() + 31 * attempt, 700));
+      long usualMillis =
+          layout.tasksRunAsEstimated()
+              ? step(task).estimatedMillis()
+              : 200L + Math.floorMod(task.hashCode() + 31 * attempt, 700);
+      return taskTimeFactor * usualMillis;
     }
 
     @Override
@@ -330,7 +375,11 @@
 
     @Override
     public Resources resources(TaskId task) {
-      return submittedJobs.get(task.job()).steps().get(task.step()).need();
+      return step(task).need();
+    }
+
+    private StepSpec step(TaskId task) {
+      return submittedJobs.get(task.job()).steps().get(task.step());
     }
   }
 
@@ -339,6 +388,10 @@
     clock.advance(millis);
   }
 
+  VmClient vmClient() {
+    return vmPlatform.isPresent() ? vmPlatform.get() : new UnavailableVmClient();
+  }
+
   /** Returns the client of the row store for a node. */
   RowStore storeFor(String node) {
     return rowStore.viewOf(node, disabledMechanisms);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -1,5 +1,6 @@
 package org.sassafraslink.scheduler.sim;
 
+import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -80,7 +81,7 @@
         Scheduler.create(
             wrapStore(fleet.storeFor(name)),
             new SimWorkerClient(),
-            new UnavailableVmClient(),
+            wrapVmClient(fleet.vmClient()),
             Optional.empty(),
             clock,
             SimLog.forNode(name, fleet),
@@ -94,12 +95,12 @@
                 /* maxStopMillis= */ 400,
                 /* handoverPauseMillis= */ 3_000,
                 /* finalStateRetentionMillis= */ 120_000,
-                /* maintenanceMillis= */ 2_000,
-                /* moveMillis= */ 1_500,
+                /* maintenanceMillis= */ FakeVmPlatform.MAINTENANCE_MILLIS,
+                /* moveMillis= */ FakeVmPlatform.MOVE_MILLIS,
                 /* unavailabilityThresholdMillis= */ 4_500,
                 /* maxBackfillImpactMillis= */ 4_000),
             new SimLeaseHolderWatch());
-    scheduler.onConfig(SimFleet.settings());
+    scheduler.onConfig(fleet.layout.settings());
   }
 
   /**
@@ -234,6 +235,30 @@
     };
   }
 
+  private VmClient wrapVmClient(VmClient client) {
+    return new VmClient() {
+      @Override
+      public void list(Consumer<Either<CallFailure, ImmutableList<Vm>>> done) {
+        client.list(wrapCallback(done));
+      }
+
+      @Override
+      public void move(
+          String vm,
+          String pool,
+          Authority authority,
+          Consumer<Either<CallFailure, VmReply>> done) {
+        client.move(vm, pool, authority, wrapCallback(done));
+      }
+
+      @Override
+      public void startMaintenance(
+          String vm, long wave, Authority authority, Consumer<Either<CallFailure, VmReply>> done) {
+        client.startMaintenance(vm, wave, authority, wrapCallback(done));
+      }
+    };
+  }
+
   private CommandOutcome commandOutcomeFor(WorkerEntry worker) {
     return commandOutcomeByWorkerId.getOrDefault(worker.id(), defaultCommandOutcome);
   }
@@ -347,25 +372,4 @@
           () -> callback.accept(Either.left(CallFailure.OUTCOME_UNKNOWN)));
     }
   }
-
-  /** A client of the platform's VMs whose calls are never performed. */
-  private static final class UnavailableVmClient implements VmClient {
-    @Override
-    public void list(
-        Consumer<Either<CallFailure, com.google.common.collect.ImmutableList<Vm>>> done) {
-      done.accept(Either.left(CallFailure.NOT_PERFORMED));
-    }
-
-    @Override
-    public void move(
-        String vm, String pool, Authority authority, Consumer<Either<CallFailure, VmReply>> done) {
-      done.accept(Either.left(CallFailure.NOT_PERFORMED));
-    }
-
-    @Override
-    public void startMaintenance(
-        String vm, long wave, Authority authority, Consumer<Either<CallFailure, VmReply>> done) {
-      done.accept(Either.left(CallFailure.NOT_PERFORMED));
-    }
-  }
 }
