Limit moves of VMs by the platform's rate, not by a fixed number

A pool of 8 VMs needed 60 when its turn began, and had them when the turn was over.

Cause: VmMover allowed 12 moves in progress, whatever the size of the fleet. A move takes about 2 s, so pools grew by 6 VMs a second: a third of a fleet of 35 workers in 2 s, a twentieth of one of 247. Class: a constant limit on concurrency in place of a limit derived from the size or the rate that the system is given.

How many VMs a pool gets is still decided by its need alone.

--- a/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
@@ -15,6 +15,8 @@
  * @param metricsAddress the address at which metrics are served as text
  * @param storeAddress the address of the platform's row store
  * @param vmApiAddress the address of the platform's VM API
+ * @param vmCommandsPerSecond how many moves and maintenance commands of VMs the platform accepts in
+ *     a second, from all processes together
  * @param adviceAddress the address of the placement advice service; empty if there is none
  * @param maxLeaseMillis the longest lease that workers grant
  * @param maxStopMillis the longest time that a worker takes to stop a task
@@ -40,6 +42,7 @@
     InetSocketAddress metricsAddress,
     InetSocketAddress storeAddress,
     InetSocketAddress vmApiAddress,
+    double vmCommandsPerSecond,
     Optional<InetSocketAddress> adviceAddress,
     long maxLeaseMillis,
     long maxStopMillis,
--- a/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
@@ -72,6 +72,7 @@
         /* metricsAddress= */ anyPort,
         /* storeAddress= */ unreachable,
         /* vmApiAddress= */ unreachable,
+        /* vmCommandsPerSecond= */ 12,
         /* adviceAddress= */ Optional.of(unreachable),
         /* maxLeaseMillis= */ 6_000,
         /* maxStopMillis= */ 400,
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -195,7 +195,7 @@
         Math.max(
             PoolDemand.missingForBacklog(poolBacklog, capacity, vmCapacity),
             PoolDemand.missingForArrivals(neededForArrivals, capacity, vmCapacity));
-    for (long i = vmMover.countMovesTo(pool); i < missing && vmMover.canStartMove(); i++) {
+    for (long i = vmMover.countMovesTo(pool); i < missing && vmMover.canStartMove(nowMillis); i++) {
       Optional<String> vm = findMovableVm(pool, backlog, nowMillis);
       if (vm.isEmpty()) {
         logShortage(pool, missing - i, backlog, nowMillis);
@@ -311,7 +311,7 @@
       boolean mayPowerOff =
           isIdle
               && isUnneeded
-              && vmMover.canStartMove()
+              && vmMover.canStartMove(nowMillis)
               && isWorkerMovable(worker, standbyPool, nowMillis)
               && poolDemand.canSpareVm(currentPool, worker.entry.capacity(), backlog, nowMillis);
       if (mayPowerOff) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
@@ -16,6 +16,7 @@
  * @param finalStateRetentionMillis how long the final state of a job is kept at least
  * @param maintenanceMillis how long maintenance of a VM takes
  * @param moveMillis how long a move of a VM takes
+ * @param vmCommandsPerSecond how many commands to VMs the platform accepts in a second
  * @param unavailabilityThresholdMillis how long a task may be interrupted, for any reason, before
  *     it counts as unavailable
  * @param maxBackfillImpactMillis how long a serving task may exceed its latency target because of
@@ -32,6 +33,7 @@
     long finalStateRetentionMillis,
     long maintenanceMillis,
     long moveMillis,
+    double vmCommandsPerSecond,
     long unavailabilityThresholdMillis,
     long maxBackfillImpactMillis) {
   /**
@@ -60,6 +62,7 @@
         node.finalStateRetentionMillis(),
         node.maintenanceMillis(),
         node.moveMillis(),
+        node.vmCommandsPerSecond(),
         node.unavailabilityThresholdMillis(),
         node.maxBackfillImpactMillis());
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
@@ -22,9 +22,6 @@
  * or {@link #MOVE_TIMEOUT_MILLIS} have passed.
  */
 final class VmMover {
-  /** Number of moves that may be in progress at once. */
-  private static final int MAX_CONCURRENT_MOVES = 12;
-
   /** A move is no longer tracked after this time, in ms, even if its VM did not appear. */
   private static final long MOVE_TIMEOUT_MILLIS = 6_000;
 
@@ -46,6 +43,7 @@
   private final VmInventory vmInventory;
   private final VmCommandLog vmCommandLog;
   private final MaintenanceController.Actions actions;
+  private final VmMoveRate moveRate;
 
   private final Map<String, Move> moves = new HashMap<>();
   private final Map<String, Long> retryAtMillis = new HashMap<>();
@@ -77,6 +75,7 @@
     this.vmInventory = vmInventory;
     this.vmCommandLog = vmCommandLog;
     this.actions = actions;
+    this.moveRate = VmMoveRate.of(settings.vmCommandsPerSecond());
   }
 
   /** Discards all moves, because this process has just acquired the scheduling lease. */
@@ -86,9 +85,9 @@
     retryAtMillis.clear();
   }
 
-  /** Returns whether one more move may be in progress. */
-  boolean canStartMove() {
-    return moves.size() < MAX_CONCURRENT_MOVES;
+  /** Returns whether the platform's rate of commands allows a move now. */
+  boolean canStartMove(long nowMillis) {
+    return moveRate.allowsMove(nowMillis);
   }
 
   /** Returns the number of moves in progress to a pool. */
@@ -142,6 +141,7 @@
     Optional<Worker> worker = workers.listedOnVm(vm);
     worker.ifPresent(found -> found.cordonReason = CORDON_REASON);
     moves.put(vm, new Move(pool, nowMillis));
+    moveRate.countMove();
     log.log("machine.move", "machine", vm, "pool", pool, "reason", reason);
     long sentGeneration = generation;
     vmCommandLog.recordVm(
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -64,6 +64,7 @@
               /* finalStateRetentionMillis= */ 1,
               /* maintenanceMillis= */ 2_000,
               /* moveMillis= */ 1_500,
+              /* vmCommandsPerSecond= */ 64,
               /* unavailabilityThresholdMillis= */ 4_500,
               /* maxBackfillImpactMillis= */ 4_000);
       lease = new SchedulerLease(store, time, EventLog.silent(), settings, this, this);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -97,6 +97,7 @@
                 /* finalStateRetentionMillis= */ 120_000,
                 /* maintenanceMillis= */ FakeVmPlatform.MAINTENANCE_MILLIS,
                 /* moveMillis= */ FakeVmPlatform.MOVE_MILLIS,
+                /* vmCommandsPerSecond= */ fleet.layout.movesPerSecond().orElse(1),
                 /* unavailabilityThresholdMillis= */ 4_500,
                 /* maxBackfillImpactMillis= */ 4_000),
             new SimLeaseHolderWatch());
