Count late and excess jobs in what a pool needs

Cause: only long-running jobs and jobs that can be in time counted as needed. A worker without such tasks was surplus, and got no tasks of late jobs before it had been empty for 2.7 s; but after 2.3 s it was powered off. So a pool whose waiting jobs were all late shrank to two workers, and nothing made it grow again. Class: two rules that claim the same resource, and a demand that no rule counts.

Change: a VM is powered off or lent to another pool only if the tasks of all accepted jobs, late and excess ones included, fit on the remaining workers. Late jobs leave surplus workers free only while another pool is short of VMs for jobs in time. A pool grows for late jobs too, so that their work is done within 5.3 s, while no pool is short of VMs for jobs in time. The need of a pool is now computed once in 50 ms, from one pass over the workers (PoolUsage), not for each empty worker in each pass.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -59,7 +59,7 @@
 
   /**
    * Assigns tasks that can start to workers, and returns the jobs of the assigned tasks. Late and
-   * excess jobs get no workers that {@link SurplusWorkers} has chosen.
+   * excess jobs get no workers that {@link SurplusWorkers} has chosen for another pool.
    */
   Set<Job> placeWaitingTasks(Collection<Job> jobs, long nowMillis, long wallMillis) {
     backlog = new Backlog();
@@ -212,13 +212,15 @@
     return isPlaced;
   }
 
-  /**
-   * Adds tasks to the backlog of their pool, for which {@link PoolAutoscaler} may add VMs to the
-   * pool. Tasks of late and excess jobs are left out, since they do not justify more VMs.
-   */
+  /** Adds tasks to the backlog of their pool, for which {@link PoolAutoscaler} may add VMs. */
   private void addToBacklog(Candidate candidate, List<Task> tasks) {
+    String pool = candidate.queue().pool();
     if (candidate.rank().justifiesMoreWorkers()) {
-      tasks.forEach(task -> backlog.add(candidate.queue().pool(), task));
+      tasks.forEach(task -> backlog.add(pool, task));
+    } else {
+      double expectedMillis =
+          durationModel.expectedMillis(candidate.queue().name(), tasks.get(0).step);
+      tasks.forEach(task -> backlog.addLate(pool, task, expectedMillis));
     }
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -26,6 +26,9 @@
  * work arrives faster than those can complete it. VMs are taken first from pools that do not need
  * them, then from the standby pool. A VM must have been empty for a while before it is moved, so
  * that VMs do not move back and forth whenever the demand falls briefly.
+ *
+ * <p>Late and excess jobs are owed too. A pool gets VMs for them while no pool is short of VMs for
+ * other jobs, and no VM of a pool is powered off that their waiting tasks could use.
  */
 final class PoolAutoscaler {
   /**
@@ -46,8 +49,8 @@
    */
   private static final long MAX_SURPLUS_IDLE_MILLIS = 2_700;
 
-  /** Time between two updates of the surplus workers, in ms. */
-  private static final long SURPLUS_UPDATE_INTERVAL_MILLIS = 50;
+  /** Time between two adjustments, in ms, since each one visits all workers. */
+  private static final long ADJUSTMENT_INTERVAL_MILLIS = 50;
 
   /** Number of workers that a pool always keeps. */
   private static final int MIN_WORKERS = 2;
@@ -71,7 +74,15 @@
   private final Map<Worker, Long> emptySinceMillis = new HashMap<>();
 
   private ImmutableSet<Worker> surplusWorkers = ImmutableSet.of();
-  private long nextSurplusUpdateMillis;
+
+  /** The pools for whose jobs in time the last adjustment found no VM that could be moved. */
+  private ImmutableSet<String> shortPools = ImmutableSet.of();
+
+  private long nextAdjustmentMillis;
+
+  /** The usage of each pool, kept up to date with the moves that an adjustment starts. */
+  private final Map<String, PoolUsage> usageByPool = new HashMap<>();
+
   private final Map<String, Long> nextShortageLogMillisByPool = new HashMap<>();
 
   PoolAutoscaler(
@@ -98,26 +109,27 @@
     vmMover.reset();
     emptySinceMillis.clear();
     surplusWorkers = ImmutableSet.of();
+    shortPools = ImmutableSet.of();
   }
 
   /** Moves VMs to pools that are short of them, and powers off idle VMs that no pool needs. */
   void adjustPools(Backlog backlog, long nowMillis) {
     Optional<FleetSettings> settings = config.settings();
-    if (settings.isEmpty() || !lease.isValid()) {
+    if (settings.isEmpty() || !lease.isValid() || nowMillis < nextAdjustmentMillis) {
       return;
     }
-    updateEmptySinceMillis(nowMillis);
+    nextAdjustmentMillis = nowMillis + ADJUSTMENT_INTERVAL_MILLIS;
+    List<Worker> allWorkers = workers.all();
+    updateEmptySinceMillis(allWorkers, nowMillis);
     vmMover.removeFinishedMoves(nowMillis);
+    usageByPool.clear();
+    usageByPool.putAll(PoolUsage.byPool(allWorkers));
     updateSurplusWorkers(settings.get(), backlog, nowMillis);
     vmInventory.refreshIfDue(nowMillis);
     if (!vmInventory.isFresh(nowMillis)) {
       return;
     }
-    for (PoolConfig pool : settings.get().pools().values()) {
-      if (!pool.standby()) {
-        addVmsIfShort(pool.name(), backlog, nowMillis);
-      }
-    }
+    addVms(settings.get(), backlog, nowMillis);
     config
         .standbyPool()
         .ifPresent(standbyPool -> powerOffIdleVms(standbyPool, settings.get(), backlog, nowMillis));
@@ -129,24 +141,20 @@
   }
 
   /**
-   * Updates the surplus workers. A pool has some only if there is a standby pool or another pool
-   * has a backlog, since their VMs would not be moved otherwise.
+   * Updates the surplus workers. A pool has some only while another pool is short of VMs for jobs
+   * in time, since late and excess jobs have to wait for no other reason.
    */
   private void updateSurplusWorkers(FleetSettings settings, Backlog backlog, long nowMillis) {
-    if (nowMillis < nextSurplusUpdateMillis) {
-      return;
-    }
-    nextSurplusUpdateMillis = nowMillis + SURPLUS_UPDATE_INTERVAL_MILLIS;
     ImmutableSet.Builder<Worker> newSurplus = ImmutableSet.builder();
     for (PoolConfig pool : settings.pools().values()) {
       boolean isUsableElsewhere =
-          config.standbyPool().isPresent()
-              || settings.pools().keySet().stream()
-                  .anyMatch(
-                      other -> !other.equals(pool.name()) && backlog.forPool(other).tasks() > 0);
+          shortPools.stream().anyMatch(shortPool -> !shortPool.equals(pool.name()));
       if (!pool.standby() && isUsableElsewhere) {
-        List<Worker> poolWorkers = poolDemand.uncordonedWorkers(pool.name());
-        Resources needed = poolDemand.neededResources(pool.name(), backlog, nowMillis);
+        List<Worker> poolWorkers =
+            workers.listedInPool(pool.name()).stream()
+                .filter(worker -> worker.cordonReason.isEmpty())
+                .toList();
+        Resources needed = neededInTime(pool.name(), backlog, nowMillis);
         SurplusWorkers.of(poolWorkers, needed, MIN_WORKERS).stream()
             .filter(worker -> emptyMillis(worker, nowMillis) < MAX_SURPLUS_IDLE_MILLIS)
             .forEach(newSurplus::add);
@@ -155,12 +163,21 @@
     surplusWorkers = newSurplus.build();
   }
 
+  /** Returns what a pool needs for long-running jobs and jobs that can be in time. */
+  Resources neededInTime(String pool, Backlog backlog, long nowMillis) {
+    return poolDemand.neededInTime(pool, usageOf(pool), backlog, nowMillis);
+  }
+
+  private PoolUsage usageOf(String pool) {
+    return usageByPool.getOrDefault(pool, PoolUsage.EMPTY);
+  }
+
   private long emptyMillis(Worker worker, long nowMillis) {
     return nowMillis - emptySinceMillis.getOrDefault(worker, nowMillis);
   }
 
-  private void updateEmptySinceMillis(long nowMillis) {
-    Set<Worker> present = new HashSet<>(workers.all());
+  private void updateEmptySinceMillis(List<Worker> allWorkers, long nowMillis) {
+    Set<Worker> present = new HashSet<>(allWorkers);
     emptySinceMillis.keySet().retainAll(present);
     for (Worker worker : present) {
       if (worker.isSafeToRemove()) {
@@ -172,50 +189,115 @@
   }
 
   /**
-   * Starts moves of VMs to a pool until as many are in progress as the pool is short of, or no VM
-   * can be moved.
+   * Starts moves to the pools that are short of VMs: first for jobs in time, then, if no pool is
+   * short of VMs for those, for late and excess jobs.
    */
-  private void addVmsIfShort(String pool, Backlog backlog, long nowMillis) {
-    Backlog.PoolBacklog poolBacklog = backlog.forPool(pool);
-    Resources neededForArrivals = poolDemand.neededForArrivals(pool, nowMillis);
-    if (poolBacklog.tasks() == 0 && neededForArrivals.equals(Resources.NONE)) {
-      return;
+  private void addVms(FleetSettings settings, Backlog backlog, long nowMillis) {
+    ImmutableSet.Builder<String> newShortPools = ImmutableSet.builder();
+    for (PoolConfig pool : settings.pools().values()) {
+      if (!pool.standby() && !addVmsForJobsInTime(pool.name(), backlog, nowMillis)) {
+        newShortPools.add(pool.name());
+      }
     }
-    List<Worker> poolWorkers = workers.listedInPool(pool);
-    Resources capacity = Resources.NONE;
-    Resources vmCapacity = Resources.NONE;
-    for (Worker worker : poolWorkers) {
-      capacity = capacity.plus(worker.entry.capacity());
-      vmCapacity = worker.entry.capacity();
+    shortPools = newShortPools.build();
+    if (shortPools.isEmpty()) {
+      for (PoolConfig pool : settings.pools().values()) {
+        if (!pool.standby()) {
+          addVmsForLateJobs(pool.name(), backlog, nowMillis);
+        }
+      }
     }
-    if (poolWorkers.isEmpty()) {
-      vmCapacity = capacityOfAnyWorker();
+  }
+
+  /** Starts moves for jobs in time; returns false if some of the VMs could not be found. */
+  private boolean addVmsForJobsInTime(String pool, Backlog backlog, long nowMillis) {
+    Backlog.PoolBacklog poolBacklog = backlog.forPool(pool);
+    PoolUsage usage = usageOf(pool);
+    Resources neededForArrivals = poolDemand.neededForArrivals(pool, usage, nowMillis);
+    if (poolBacklog.tasks() == 0 && neededForArrivals.equals(Resources.NONE)) {
+      return true;
     }
+    Resources vmCapacity = vmCapacityOf(usage);
     int missing =
         Math.max(
-            PoolDemand.missingForBacklog(poolBacklog, capacity, vmCapacity),
-            PoolDemand.missingForArrivals(neededForArrivals, capacity, vmCapacity));
+            PoolDemand.missingForBacklog(poolBacklog, usage.capacity(), vmCapacity),
+            PoolDemand.missingForArrivals(neededForArrivals, usage.capacity(), vmCapacity));
+    String reason =
+        "backlog of "
+            + poolBacklog.tasks()
+            + " tasks, "
+            + neededForArrivals
+            + " needed at the current arrival rate";
+    return moveVmsTo(pool, missing, reason, backlog, nowMillis);
+  }
+
+  private void addVmsForLateJobs(String pool, Backlog backlog, long nowMillis) {
+    int lateTasks = backlog.lateForPool(pool).tasks();
+    if (lateTasks == 0) {
+      return;
+    }
+    PoolUsage usage = usageOf(pool);
+    Resources needed = poolDemand.neededToCatchUp(pool, usage, backlog, nowMillis);
+    int missing =
+        PoolDemand.missingForArrivals(needed, usage.uncordonedCapacity(), vmCapacityOf(usage));
+    moveVmsTo(pool, missing, "late backlog of " + lateTasks + " tasks", backlog, nowMillis);
+  }
+
+  private Resources vmCapacityOf(PoolUsage usage) {
+    return usage.workers() > 0
+        ? usage.vmCapacity()
+        : workers.all().stream()
+            .map(worker -> worker.entry.capacity())
+            .findFirst()
+            .orElse(Resources.NONE);
+  }
+
+  /**
+   * Starts moves of VMs to a pool until {@code missing} are in progress or the platform's rate is
+   * used up. Returns false if too few VMs can be moved.
+   */
+  private boolean moveVmsTo(
+      String pool, int missing, String reason, Backlog backlog, long nowMillis) {
     for (long i = vmMover.countMovesTo(pool); i < missing && vmMover.canStartMove(nowMillis); i++) {
       Optional<String> vm = findMovableVm(pool, backlog, nowMillis);
       if (vm.isEmpty()) {
         logShortage(pool, missing - i, backlog, nowMillis);
-        return;
+        return false;
       }
-      String reason =
-          "backlog of "
-              + poolBacklog.tasks()
-              + " tasks, "
-              + neededForArrivals
-              + " needed at the current arrival rate";
-      vmMover.move(vm.get(), pool, reason, nowMillis);
+      startMove(vm.get(), pool, reason, nowMillis);
     }
+    return true;
+  }
+
+  private void startMove(String vm, String pool, String reason, long nowMillis) {
+    workers
+        .listedOnVm(vm)
+        .ifPresent(
+            worker ->
+                usageByPool.computeIfPresent(
+                    worker.entry.pool(),
+                    (name, usage) -> usage.withoutVm(worker.entry.capacity())));
+    vmMover.move(vm, pool, reason, nowMillis);
+  }
+
+  /** Returns whether a worker's pool can spare its VM for a pool that is short of VMs. */
+  private boolean canSpareForOther(Worker worker, Backlog backlog, long nowMillis) {
+    String pool = worker.entry.pool();
+    PoolUsage usage = usageOf(pool);
+    // Late and excess jobs have to leave surplus workers to the other pool.
+    Resources needed =
+        surplusWorkers.contains(worker)
+            ? poolDemand.neededInTime(pool, usage, backlog, nowMillis)
+            : poolDemand.neededForAllJobs(pool, usage, backlog, nowMillis);
+    return PoolDemand.canSpareVm(usage, worker.entry.capacity(), needed);
   }
 
-  private Resources capacityOfAnyWorker() {
-    return workers.all().stream()
-        .map(worker -> worker.entry.capacity())
-        .findFirst()
-        .orElse(Resources.NONE);
+  /** Returns whether a worker's pool does not need its VM for any accepted job. */
+  private boolean canPowerOff(Worker worker, Backlog backlog, long nowMillis) {
+    String pool = worker.entry.pool();
+    PoolUsage usage = usageOf(pool);
+    Resources needed = poolDemand.neededForAllJobs(pool, usage, backlog, nowMillis);
+    return PoolDemand.canSpareVm(usage, worker.entry.capacity(), needed);
   }
 
   /** Finds an empty VM that another pool does not need, or else one in the standby pool. */
@@ -231,9 +313,9 @@
       boolean isMovableNow =
           !currentPool.equals(pool)
               && backlog.forPool(currentPool).tasks() == 0
-              && workers.listedInPool(currentPool).size() > MIN_WORKERS
+              && usageOf(currentPool).workers() > MIN_WORKERS
               && isWorkerMovable(worker, pool, nowMillis)
-              && poolDemand.canSpareVm(currentPool, worker.entry.capacity(), backlog, nowMillis);
+              && canSpareForOther(worker, backlog, nowMillis);
       if (isIdle && isMovableNow) {
         return Optional.of(worker.entry.vm());
       }
@@ -278,7 +360,7 @@
       return "own_backlog";
     } else if (!vmMover.mayMove(worker.entry.vm(), pool, nowMillis)) {
       return "paused";
-    } else if (!poolDemand.canSpareVm(currentPool, worker.entry.capacity(), backlog, nowMillis)) {
+    } else if (!canSpareForOther(worker, backlog, nowMillis)) {
       return "needed";
     }
     return isWorkerMovable(worker, pool, nowMillis) ? "smallest_pool" : "not_movable";
@@ -307,20 +389,16 @@
           poolConfig != null
               && !poolConfig.standby()
               && backlog.forPool(currentPool).tasks() == 0
-              && countUncordoned(currentPool) > MIN_WORKERS;
+              && usageOf(currentPool).uncordonedWorkers() > MIN_WORKERS;
       boolean mayPowerOff =
           isIdle
               && isUnneeded
               && vmMover.canStartMove(nowMillis)
               && isWorkerMovable(worker, standbyPool, nowMillis)
-              && poolDemand.canSpareVm(currentPool, worker.entry.capacity(), backlog, nowMillis);
+              && canPowerOff(worker, backlog, nowMillis);
       if (mayPowerOff) {
-        vmMover.move(worker.entry.vm(), standbyPool, "idle", nowMillis);
+        startMove(worker.entry.vm(), standbyPool, "idle", nowMillis);
       }
     }
   }
-
-  private long countUncordoned(String pool) {
-    return poolDemand.uncordonedWorkers(pool).size();
-  }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
@@ -1,7 +1,5 @@
 package org.sassafraslink.scheduler;
 
-import java.util.List;
-import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.Resources;
 
 /** Calculates the resources that a pool needs, and how many VMs are missing to provide them. */
@@ -12,11 +10,15 @@
   /** Ratio of a pool's needed capacity to the average use by arriving work, to absorb bursts. */
   private static final double BURST_HEADROOM_FACTOR = 1.2;
 
-  private final WorkerRegistry workers;
+  /**
+   * Time within which the waiting tasks of late and excess jobs should all be done, in ms: the time
+   * within which urgent work must start at the size for which the system is designed.
+   */
+  private static final double LATE_WORK_MILLIS = 5_300;
+
   private final DemandRate demandRate;
 
-  PoolDemand(WorkerRegistry workers, DemandRate demandRate) {
-    this.workers = workers;
+  PoolDemand(DemandRate demandRate) {
     this.demandRate = demandRate;
   }
 
@@ -29,8 +31,8 @@
   }
 
   /**
-   * Returns how many more VMs of capacity {@code vmCapacity} a pool needs for work that goes on
-   * arriving at the current rate.
+   * Returns how many more VMs of capacity {@code vmCapacity} a pool needs to provide {@code needed}
+   * at all times.
    */
   static int missingForArrivals(Resources needed, Resources capacity, Resources vmCapacity) {
     return missingVms(needed, 1, capacity, vmCapacity);
@@ -53,7 +55,7 @@
    * Returns what a pool needs for work arriving at the current rate and for its long-running tasks;
    * {@link Resources#NONE} if no work arrives.
    */
-  Resources neededForArrivals(String pool, long nowMillis) {
+  Resources neededForArrivals(String pool, PoolUsage usage, long nowMillis) {
     Resources averageUse = demandRate.averageUse(pool, nowMillis);
     if (averageUse.equals(Resources.NONE)) {
       return Resources.NONE;
@@ -63,45 +65,40 @@
             (long) (averageUse.cpuMillis() * BURST_HEADROOM_FACTOR),
             (long) (averageUse.memoryMb() * BURST_HEADROOM_FACTOR),
             (long) Math.ceil(averageUse.accelerators() * BURST_HEADROOM_FACTOR));
-    return needed.plus(reservedBy(pool, task -> task.step.longRunning()));
+    return needed.plus(usage.longRunning());
   }
 
   /**
    * Returns what a pool needs for long-running jobs and jobs that can be in time: the larger of the
    * need at the current arrival rate and the need of the running and waiting tasks of such jobs.
    */
-  Resources neededResources(String pool, Backlog backlog, long nowMillis) {
-    Resources currentNeed =
-        reservedBy(pool, SurplusWorkers::justifiesVm).plus(backlog.forPool(pool).resources());
-    return neededForArrivals(pool, nowMillis).max(currentNeed);
+  Resources neededInTime(String pool, PoolUsage usage, Backlog backlog, long nowMillis) {
+    Resources currentNeed = usage.inTime().plus(backlog.forPool(pool).resources());
+    return neededForArrivals(pool, usage, nowMillis).max(currentNeed);
   }
 
-  private Resources reservedBy(String pool, Predicate<Task> isCounted) {
-    Resources sum = Resources.NONE;
-    for (Worker worker : workers.listedInPool(pool)) {
-      for (Task task : worker.tasks()) {
-        if (isCounted.test(task)) {
-          sum = sum.plus(task.step.reservedResources());
-        }
-      }
-    }
-    return sum;
+  /**
+   * Returns what a pool needs for all accepted jobs, late and excess ones included, to have none of
+   * their tasks wait for a worker.
+   */
+  Resources neededForAllJobs(String pool, PoolUsage usage, Backlog backlog, long nowMillis) {
+    return neededInTime(pool, usage, backlog, nowMillis)
+        .plus(usage.late())
+        .plus(backlog.lateForPool(pool).resources());
   }
 
-  /** Returns whether a pool's uncordoned workers still provide what it needs with one VM less. */
-  boolean canSpareVm(String pool, Resources vmCapacity, Backlog backlog, long nowMillis) {
-    Resources remaining = Resources.NONE.minus(vmCapacity);
-    for (Worker worker : uncordonedWorkers(pool)) {
-      remaining = remaining.plus(worker.entry.capacity());
-    }
-    return remaining.covers(neededResources(pool, backlog, nowMillis));
+  /**
+   * Returns what a pool needs for long-running jobs, jobs that can be in time, and for late and
+   * excess jobs to be done within {@link #LATE_WORK_MILLIS}.
+   */
+  Resources neededToCatchUp(String pool, PoolUsage usage, Backlog backlog, long nowMillis) {
+    return neededInTime(pool, usage, backlog, nowMillis)
+        .plus(backlog.lateForPool(pool).neededToFinishWithin(LATE_WORK_MILLIS));
   }
 
-  /** Returns the workers of a pool that are not cordoned, so that they may get tasks. */
-  List<Worker> uncordonedWorkers(String pool) {
-    return workers.listedInPool(pool).stream()
-        .filter(worker -> worker.cordonReason.isEmpty())
-        .toList();
+  /** Returns whether a pool's uncordoned workers still provide {@code needed} with one VM less. */
+  static boolean canSpareVm(PoolUsage usage, Resources vmCapacity, Resources needed) {
+    return usage.uncordonedCapacity().minus(vmCapacity).covers(needed);
   }
 
   private static double ratio(double amount, long total) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolStateLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolStateLog.java
@@ -22,10 +22,10 @@
 
   private static final double MILLIS_PER_CORE = 1_000;
 
-  /** Calculates what a pool needs, as {@link PoolDemand#neededResources} does. */
+  /** Calculates what a pool needs, as {@link PoolDemand#neededInTime} does. */
   @FunctionalInterface
   interface PoolNeed {
-    Resources neededResources(String pool, Backlog backlog, long nowMillis);
+    Resources neededInTime(String pool, Backlog backlog, long nowMillis);
   }
 
   private final EventLog log;
@@ -77,7 +77,7 @@
     Map<String, WaitingWork> waitingByPool = countWaitingWork(jobs, wallMillis);
     for (String pool : config.settings().map(FleetSettings::pools).orElseThrow().keySet()) {
       WaitingWork waiting = waitingByPool.getOrDefault(pool, WaitingWork.NONE);
-      writeLine(pool, waiting, poolNeed.neededResources(pool, backlog, nowMillis));
+      writeLine(pool, waiting, poolNeed.neededInTime(pool, backlog, nowMillis));
     }
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -118,7 +118,7 @@
     this.maintenance =
         new MaintenanceController(
             vmClient, clock, log, lease, settings, workers, vmInventory, commandLog, actions);
-    PoolDemand poolDemand = new PoolDemand(workers, demandRate);
+    PoolDemand poolDemand = new PoolDemand(demandRate);
     VmMover vmMover =
         new VmMover(
             vmClient,
@@ -143,7 +143,7 @@
             maintenance::isDueForMaintenance);
     this.poolStateLog =
         new PoolStateLog(
-            log, config, workers::listedInPool, poolDemand::neededResources, vmMover::countMovesTo);
+            log, config, workers::listedInPool, autoscaler::neededInTime, vmMover::countMovesTo);
     this.pendingCounts = new PendingJobCounts(store, lease);
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
     this.adviceTickets = new AdviceTicketCache(adviceClient, clock, log);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolDemandTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolDemandTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -13,6 +14,7 @@
  */
 class PoolDemandTest {
   private static final Resources VM_CAPACITY = new Resources(16_000, 64_000, 0);
+  private static final PoolDemand DEMAND = new PoolDemand(new DemandRate(new DurationModel()));
 
   @ParameterizedTest
   @CsvSource({
@@ -69,4 +71,35 @@
         backlog.forPool("a"));
     assertEquals(Backlog.PoolBacklog.EMPTY, backlog.forPool("b"));
   }
+
+  /** Guards against powering off VMs that waiting tasks of late jobs could use. */
+  @ParameterizedTest
+  @CsvSource({"0, true", "15, true", "16, true", "17, false"})
+  void vmIsSparedOnlyWhenWaitingLateTasksFitOnTheOthers(int lateTasks, boolean expected) {
+    PoolUsage usage =
+        PoolUsage.byPool(List.of(TestWorkers.withId("w1"), TestWorkers.withId("w2"))).get("pool");
+    Backlog backlog = backlogOfLateTasks(lateTasks, /* expectedMillis= */ 1_000);
+    Resources needed = DEMAND.neededForAllJobs("pool", usage, backlog, /* nowMillis= */ 0);
+    assertEquals(expected, PoolDemand.canSpareVm(usage, VM_CAPACITY, needed));
+  }
+
+  /** Guards against a pool that never grows for late jobs, however many of them wait. */
+  @Test
+  void lateTasksNeedCapacityInProportionToTheirWork() {
+    Backlog backlog = backlogOfLateTasks(530, /* expectedMillis= */ 1_000);
+    assertEquals(
+        new Resources(100_000, 100_000, 0),
+        DEMAND.neededToCatchUp("pool", PoolUsage.EMPTY, backlog, /* nowMillis= */ 0));
+  }
+
+  private static Backlog backlogOfLateTasks(int tasks, double expectedMillis) {
+    Backlog backlog = new Backlog();
+    Task task =
+        TestJobs.firstTask(
+            TestJobs.jobAcceptedAt(0, TestJobs.step(1, 1_000, 500, TestJobs.StepKind.PLAIN, 0)));
+    for (int i = 0; i < tasks; i++) {
+      backlog.addLate("pool", task, expectedMillis);
+    }
+    return backlog;
+  }
 }
