Look workers up by pool and VM in an index

The registry changes a few times a second, so it now builds an index at the first lookup after a change. The order of the workers, and so the choice among equal ones, is as before.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -53,6 +53,9 @@
   /** Ids of list entries that could not be read and have been logged. */
   private final Set<String> unreadableWorkerIds = new HashSet<>();
 
+  /** The workers by pool and by VM; null after a change until the next lookup. */
+  private WorkerIndex index;
+
   private boolean readPending;
 
   /** Version of the store up to which the list has been read; -1 before the first read. */
@@ -86,6 +89,7 @@
     nextPollMillis = 0;
     workersById.clear();
     jobRowWorkers.clear();
+    index = null;
     predecessorLeaseEndMillis = leaseEndMillis;
   }
 
@@ -94,27 +98,24 @@
     return readVersion >= 0;
   }
 
-  /** Returns all workers that may run tasks, listed or not. */
+  /** Returns all workers that may run tasks, listed or not, as of the time of the call. */
   List<Worker> all() {
-    List<Worker> result = new ArrayList<>(workersById.values());
-    result.addAll(jobRowWorkers);
-    return result;
+    return index().all();
   }
 
   List<Worker> listedInPool(String pool) {
-    List<Worker> result = new ArrayList<>();
-    for (Worker worker : workersById.values()) {
-      if (worker.listed && !worker.ended && worker.entry.pool().equals(pool)) {
-        result.add(worker);
-      }
-    }
-    return result;
+    return index().listedInPool(pool);
   }
 
   Optional<Worker> listedOnVm(String vm) {
-    return workersById.values().stream()
-        .filter(worker -> worker.listed && worker.entry.vm().equals(vm))
-        .findFirst();
+    return index().listedOnVm(vm);
+  }
+
+  private WorkerIndex index() {
+    if (index == null) {
+      index = WorkerIndex.of(workersById.values(), jobRowWorkers);
+    }
+    return index;
   }
 
   /** Returns the worker with this id that is listed, or that was listed and may still run tasks. */
@@ -144,13 +145,18 @@
     Worker worker = new Worker(entry, predecessorLeaseEndMillis);
     worker.listed = false;
     jobRowWorkers.add(worker);
+    index = null;
     return worker;
   }
 
   /** Reads the whole list, or the changes to it since the last read, if a read is due. */
   void pollIfDue(long nowMillis) {
-    jobRowWorkers.removeIf(
-        worker -> worker.isEmpty() && (worker.ended || worker.consecutiveCallFailures > 0));
+    boolean isAnyRemoved =
+        jobRowWorkers.removeIf(
+            worker -> worker.isEmpty() && (worker.ended || worker.consecutiveCallFailures > 0));
+    if (isAnyRemoved) {
+      index = null;
+    }
     if (readPending || nowMillis < nextPollMillis) {
       return;
     }
@@ -263,11 +269,15 @@
       }
       registered.entry = entry.get();
       registered.listed = true;
+      index = null;
     }
   }
 
   private void registerIncarnation(WorkerEntry entry, Worker previous) {
-    for (Worker other : all()) {
+    // Not through the index, which each registration of a full read would have to build again.
+    List<Worker> others = new ArrayList<>(workersById.values());
+    others.addAll(jobRowWorkers);
+    for (Worker other : others) {
       boolean isReplaced =
           other != previous
               && ((!entry.vm().isEmpty() && other.entry.vm().equals(entry.vm()))
@@ -289,6 +299,7 @@
     Worker worker =
         markJobRowWorkerListed(entry).orElseGet(() -> new Worker(entry, predecessorLeaseEndMillis));
     workersById.put(entry.id(), worker);
+    index = null;
     if (previous != null) {
       moveTasks(previous, worker);
     }
@@ -329,6 +340,7 @@
     }
     from.ended = true;
     from.listed = false;
+    index = null;
   }
 
   /** Registers an incarnation that responded to a request to an earlier one with the same id. */
@@ -361,6 +373,7 @@
         jobRowWorkers.remove(worker);
         worker.entry = entry;
         worker.listed = true;
+        index = null;
         return Optional.of(worker);
       }
     }
@@ -373,6 +386,7 @@
       return;
     }
     worker.listed = false;
+    index = null;
     log.log(
         "worker.unlisted",
         "worker",
@@ -390,6 +404,7 @@
   void endIncarnation(Worker worker) {
     worker.ended = true;
     worker.listed = false;
+    index = null;
     if (workersById.get(worker.entry.id()) == worker) {
       workersById.remove(worker.entry.id());
     }
