Look VMs up by id in maps

VmInventory.findVm scanned the list of VMs for each VM of a wave and each move; MaintenanceController searched the list of a wave's VMs for each listed VM and each VM of the standby pool. Both cost the product of the two lists in a pass. They now use a map and a set.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -1,5 +1,6 @@
 package org.sassafraslink.scheduler;
 
+import com.google.common.collect.ImmutableSet;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -51,6 +52,7 @@
   /** The progress of one wave under this scheduler. */
   private static final class WaveProgress {
     private final Wave wave;
+    private final ImmutableSet<String> vms;
     private final long firstSeenMillis; // monotonic
 
     /** VMs whose command was accepted, that are not in the wave, or that are not listed. */
@@ -64,6 +66,7 @@
 
     WaveProgress(Wave wave, long firstSeenMillis) {
       this.wave = wave;
+      this.vms = ImmutableSet.copyOf(wave.vms());
       this.firstSeenMillis = firstSeenMillis;
     }
 
@@ -152,8 +155,7 @@
   /** Returns whether a requested wave contains a VM and may still have to take it down. */
   boolean isDueForMaintenance(String vm) {
     return progressByWave.values().stream()
-        .anyMatch(
-            progress -> progress.wave.vms().contains(vm) && !progress.handledVms.contains(vm));
+        .anyMatch(progress -> progress.vms.contains(vm) && !progress.handledVms.contains(vm));
   }
 
   /**
@@ -241,9 +243,7 @@
   private int countDownVms(WaveProgress progress) {
     Set<String> down = new HashSet<>(progress.downSinceMillis.keySet());
     for (Vm vm : vmInventory.vms()) {
-      boolean isDown =
-          vm.state() == VmState.IN_MAINTENANCE && progress.wave.vms().contains(vm.id());
-      if (isDown) {
+      if (vm.state() == VmState.IN_MAINTENANCE && progress.vms.contains(vm.id())) {
         down.add(vm.id());
       }
     }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmInventory.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmInventory.java
@@ -1,6 +1,9 @@
 package org.sassafraslink.scheduler;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.VmClient;
@@ -21,6 +24,7 @@
   private final FleetClock clock;
   private final EventLog log;
   private ImmutableList<Vm> vms = ImmutableList.of();
+  private ImmutableMap<String, Vm> vmsById = ImmutableMap.of();
   private long listRequestedMillis = NEVER;
   private long nextRefreshMillis;
   private boolean refreshPending;
@@ -57,6 +61,7 @@
           nextRefreshMillis = clock.monotonicMillis() + REFRESH_INTERVAL_MILLIS;
           if (response.isRight()) {
             vms = response.get();
+            vmsById = indexById(vms);
             listRequestedMillis = nowMillis;
           } else {
             log.log("machines.list_failed", "failure", response.getLeft());
@@ -78,6 +83,12 @@
   }
 
   Optional<Vm> findVm(String id) {
-    return vms.stream().filter(vm -> vm.id().equals(id)).findFirst();
+    return Optional.ofNullable(vmsById.get(id));
+  }
+
+  private static ImmutableMap<String, Vm> indexById(ImmutableList<Vm> vms) {
+    Map<String, Vm> byId = new LinkedHashMap<>();
+    vms.forEach(vm -> byId.putIfAbsent(vm.id(), vm));
+    return ImmutableMap.copyOf(byId);
   }
 }
