Advance only the workers that wait for a job's commit

After the commit of each job, all workers of the fleet were asked whether their acknowledged ends advance, so a second's commits cost the product of jobs and workers. Only workers with an end that waits for a change of this job can advance; the job now knows them.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.JobState;
@@ -55,6 +57,9 @@
   /** Since when a change has been waiting for a commit, monotonic ms; 0 if none is. */
   long uncommittedSinceMillis;
 
+  /** Workers with an end that they may be told to forget once a change of this job is committed. */
+  private final Set<Worker> workersAwaitingCommit = new LinkedHashSet<>();
+
   /** The tasks by occurrence, step and index. */
   private final ImmutableList<ImmutableList<ImmutableList<Task>>> occurrences;
 
@@ -120,6 +125,23 @@
     return lastChange > lastCommittedChange;
   }
 
+  /** Records that a worker's end is acknowledged only after a change of this job is committed. */
+  void addWorkerAwaitingCommit(Worker worker) {
+    workersAwaitingCommit.add(worker);
+  }
+
+  /**
+   * Advances {@link Worker#lastCommittedEnd} of the workers that waited for a commit of this job.
+   * Only these can advance; visiting the whole fleet for each job would cost the product of both.
+   */
+  void advanceWorkersAwaitingCommit() {
+    workersAwaitingCommit.removeIf(
+        worker -> {
+          worker.advanceLastCommittedEnd();
+          return !worker.awaitsCommitOf(this);
+        });
+  }
+
   /**
    * Returns whether a task has ever been assigned to a worker. Also true for a job that was
    * cancelled while it was queued.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -377,7 +377,7 @@
             }
           });
     }
-    workers.all().forEach(Worker::advanceLastCommittedEnd);
+    job.advanceWorkersAwaitingCommit();
   }
 
   @Override
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -218,6 +218,13 @@
   /** Delays the acknowledgement of an end until the current state of the job is committed. */
   void acknowledgeAfterCommit(long sequence, Job job) {
     uncommittedEnds.put(sequence, new PendingCommit(job, job.lastChange));
+    job.addWorkerAwaitingCommit(this);
+  }
+
+  /** Returns whether an end is not acknowledged yet because a change of the job is uncommitted. */
+  boolean awaitsCommitOf(Job job) {
+    return uncommittedEnds.values().stream()
+        .anyMatch(pending -> pending.job() == job && !pending.isCommitted());
   }
 
   /** Advances {@link #lastCommittedEnd} up to the first end whose change is not committed. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerTest.java
@@ -40,6 +40,22 @@
     assertEquals(1, worker.lastCommittedEnd);
   }
 
+  @Test
+  void commitOfLastJobMakesWorkerSafeToRemove() {
+    Job other = TestJobs.jobAcceptedAt(0, TestJobs.step(1, 1_000, 500, StepKind.PLAIN, 0));
+    job.recordChange(NOW_MILLIS);
+    other.recordChange(NOW_MILLIS);
+    worker.lastProcessedEnd = 2;
+    worker.acknowledgeAfterCommit(1, job);
+    worker.acknowledgeAfterCommit(2, other);
+    other.lastCommittedChange = other.lastChange;
+    other.advanceWorkersAwaitingCommit();
+    assertFalse(worker.isSafeToRemove());
+    job.lastCommittedChange = job.lastChange;
+    job.advanceWorkersAwaitingCommit();
+    assertTrue(worker.isSafeToRemove());
+  }
+
   @Test
   void leaseOfUnresponsiveWorkerIsNotExtended() {
     worker.recordResponse(/* workerClockMillis= */ 500, NOW_MILLIS);
