Search for room once a step and need in a placement round

Each waiting task was compared with each worker of its pool in each round, every 5 ms, also if the round had found no room for an equal task before. In a round free capacity only decreases (a gang that is undone gives back only what it took), so needs without room are remembered for the round, and the tasks of a step share the list of workers with room for the first. The choice of workers is as before.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -30,6 +30,7 @@
   private final Predicate<Worker> isSurplus;
   private final EventLog log;
   private Backlog backlog = new Backlog();
+  private UnplaceableNeeds unplaceableNeeds = new UnplaceableNeeds();
 
   Placement(
       PublishedConfig config,
@@ -63,6 +64,7 @@
    */
   Set<Job> placeWaitingTasks(Collection<Job> jobs, long nowMillis, long wallMillis) {
     backlog = new Backlog();
+    unplaceableNeeds = new UnplaceableNeeds();
     List<Candidate> candidates = new ArrayList<>();
     for (Job job : jobs) {
       if (job.state.isFinal() || job.cancelRequested) {
@@ -160,15 +162,24 @@
     if (tickets.isEmpty()) {
       return false;
     }
-    List<Worker> eligible = workersWithTickets(available, tickets.get(), candidate.queue());
+    // The tasks of a step need the same, so workers without room for the first are left out.
+    List<Worker> fitting =
+        unplaceableNeeds.contains(tasks.get(0), available)
+            ? List.of()
+            : workersWithTickets(available, tickets.get(), candidate.queue()).stream()
+                .filter(worker -> WorkerChoice.fits(tasks.get(0), worker))
+                .toList();
     Resources teamLimit = config.upperLimitOf(candidate.job().spec.team());
     boolean isAnyPlaced = false;
     for (Task task : tasks) {
       if (!candidate.job().teamUsage.admits(task.teamResources(), teamLimit)) {
         break;
       }
-      Optional<Worker> worker = WorkerChoice.chooseWorker(task, eligible);
+      Optional<Worker> worker = WorkerChoice.chooseWorker(task, fitting);
       if (worker.isEmpty()) {
+        if (candidate.queue().advice().isEmpty()) {
+          unplaceableNeeds.add(task, available);
+        }
         addToBacklog(candidate, tasks.subList(tasks.indexOf(task), tasks.size()));
         break;
       }
