--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -373,7 +373,7 @@
             }
           });
     }
-    workers.all().forEach(Worker::advanceLastCommittedEnd);
+    job.advanceWorkersAwaitingCommit();
   }
 
   @Override
