--- a/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
@@ -39,6 +39,8 @@
  * simulated second means that one core is fully used.
  */
 public final class SchedulerLoadMeasurements {
+  private static final double VM_COMMANDS_PER_SECOND = 1_000;
+
   private static final String STANDBY_POOL = "pool-4";
   private static final int SERVING_POOLS = 4;
 
@@ -112,6 +114,7 @@
                 /* finalStateRetentionMillis= */ 120_000,
                 /* maintenanceMillis= */ 2_000,
                 /* moveMillis= */ SimulatedWorkers.MOVE_MILLIS,
+                /* vmCommandsPerSecond= */ VM_COMMANDS_PER_SECOND,
                 /* unavailabilityThresholdMillis= */ 4_500,
                 /* maxBackfillImpactMillis= */ 4_000),
             new NoWatch());
