Count a job as pending until a worker has accepted a start

Cause: PendingJobCounts left out each job whose state was no longer QUEUED. Placement sets the state at the assignment, before the start is committed and sent, and a start that a worker rejects did not undo it.

The count now uses Job.hasBegun(): a worker has accepted a start, or a restored attempt may run because of an earlier scheduler. A restored job with an attempt that is over has begun as well. DeadlineAdmission still uses hasStarted().

A row with an ended attempt may also stem from a start that was rejected before another task of the same job was placed; such a job counts as begun after a change of scheduler.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.RowStore;
@@ -42,6 +43,9 @@
   /** Whether its submitter has requested its cancellation. */
   boolean cancelRequested;
 
+  /** Whether a worker is known to have accepted the start of one of its tasks. */
+  boolean startAccepted;
+
   /** When its final state was set, monotonic ms. */
   long finishedMillis;
 
@@ -150,12 +154,26 @@
     return state != JobState.QUEUED;
   }
 
+  /**
+   * Returns whether a worker has accepted the start of one of its tasks, or may have accepted it
+   * from an earlier scheduler.
+   */
+  boolean hasBegun() {
+    return startAccepted || hasTask(task -> task.restored && task.phase.mayBeKnownToWorker());
+  }
+
+  /** Returns whether an attempt of one of its tasks is over. */
+  boolean hasEndedAttempt() {
+    return hasTask(task -> task.attempt > 0 && !task.phase.occupiesWorker());
+  }
+
+  private boolean hasTask(Predicate<Task> condition) {
+    return occurrences.stream().flatMap(List::stream).flatMap(List::stream).anyMatch(condition);
+  }
+
   /** Returns whether none of its tasks has an attempt that may occupy a worker. */
   boolean hasNoActiveAttempt() {
-    return occurrences.stream()
-        .flatMap(List::stream)
-        .flatMap(List::stream)
-        .noneMatch(task -> task.phase.occupiesWorker());
+    return !hasTask(task -> task.phase.occupiesWorker());
   }
 
   /** Returns whether all tasks have ended successfully. */
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -153,6 +153,7 @@
       task.phase = TaskPhase.ORDERED;
       task.restored = true;
     }
+    job.startAccepted = job.hasEndedAttempt();
     if (job.allTasksDone()) {
       finish(job, JobState.COMPLETED);
     }
@@ -287,6 +288,7 @@
   @Override
   public void onStarted(Task task) {
     task.phase = TaskPhase.RUNNING;
+    task.job.startAccepted = true;
     task.restored = false;
     task.confirmedMillis = clock.monotonicMillis();
     log.log(
@@ -314,6 +316,7 @@
     if (task.confirmedMillis > 0) {
       durationModel.recordDuration(task.job.spec.queue(), task.step, runMillis);
     }
+    task.job.startAccepted = true;
     quarantine.recordEnd(task.worker, task, false, clock.monotonicMillis());
     release(task, TaskPhase.DONE, "done");
     if (task.job.state.isFinal()) {
@@ -328,6 +331,7 @@
 
   @Override
   public void onFailed(Task task) {
+    task.job.startAccepted = true;
     quarantine.recordEnd(task.worker, task, true, clock.monotonicMillis());
     task.failures++;
     task.failedWorkerIds.add(task.worker.entry.id());
@@ -345,6 +349,7 @@
 
   @Override
   public void onInterrupted(Task task, String reason) {
+    task.job.startAccepted = true;
     release(task, TaskPhase.WAITING, reason);
     if (!task.job.state.isFinal()) {
       progressWriter.recordChange(task.job, false);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PendingJobCounts.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PendingJobCounts.java
@@ -13,7 +13,7 @@
 import org.sassafraslink.api.fleet.RowStore.RowKey;
 import org.sassafraslink.api.fleet.RowStore.Transaction;
 
-/** Writes how many jobs of each queue have not started to one row that all entry VMs read. */
+/** Writes how many jobs of each queue are pending to one row that all entry VMs read. */
 public final class PendingJobCounts {
   /** Interval between two writes, in ms; the counts that callers see may be up to 2 s old. */
   private static final long WRITE_INTERVAL_MILLIS = 1_000;
@@ -87,15 +87,23 @@
         });
   }
 
-  private static String encode(Collection<Job> jobs) {
+  /**
+   * Returns how many jobs of each queue are pending. A job is pending until a worker has accepted
+   * the start of one of its tasks: an assignment alone may still be withdrawn.
+   */
+  static Map<String, Long> countByQueue(Collection<Job> jobs) {
     Map<String, Long> counts = new TreeMap<>();
     for (Job job : jobs) {
-      if (!job.hasStarted() && !job.cancelRequested) {
+      if (!job.hasBegun() && !job.state.isFinal() && !job.cancelRequested) {
         counts.merge(job.spec.queue(), 1L, Long::sum);
       }
     }
+    return counts;
+  }
+
+  private static String encode(Collection<Job> jobs) {
     ObjectNode countByQueue = JsonNodeFactory.instance.objectNode();
-    counts.forEach(countByQueue::put);
+    countByQueue(jobs).forEach(countByQueue::put);
     return countByQueue.toString();
   }
 }
