--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -2,8 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.RowStore;
@@ -40,6 +43,9 @@
   /** Whether its submitter has requested its cancellation. */
   boolean cancelRequested;
 
+  /** Whether a worker is known to have accepted the start of one of its tasks. */
+  boolean startAccepted;
+
   /** When its final state was set, monotonic ms. */
   long finishedMillis;
 
@@ -55,6 +61,9 @@
   /** Since when a change has been waiting for a commit, monotonic ms; 0 if none is. */
   long uncommittedSinceMillis;
 
+  /** Workers with an end that they may be told to forget once a change of this job is committed. */
+  private final Set<Worker> workersAwaitingCommit = new LinkedHashSet<>();
+
   /** The tasks by occurrence, step and index. */
   private final ImmutableList<ImmutableList<ImmutableList<Task>>> occurrences;
 
@@ -120,6 +129,23 @@
     return lastChange > lastCommittedChange;
   }
 
+  /** Records that a worker's end is acknowledged only after a change of this job is committed. */
+  void addWorkerAwaitingCommit(Worker worker) {
+    workersAwaitingCommit.add(worker);
+  }
+
+  /**
+   * Advances {@link Worker#lastCommittedEnd} of the workers that waited for a commit of this job.
+   * Only these can advance; visiting the whole fleet for each job would cost the product of both.
+   */
+  void advanceWorkersAwaitingCommit() {
+    workersAwaitingCommit.removeIf(
+        worker -> {
+          worker.advanceLastCommittedEnd();
+          return !worker.awaitsCommitOf(this);
+        });
+  }
+
   /**
    * Returns whether a task has ever been assigned to a worker. Also true for a job that was
    * cancelled while it was queued.
@@ -128,12 +154,26 @@
     return state != JobState.QUEUED;
   }
 
+  /**
+   * Returns whether a worker has accepted the start of one of its tasks, or may have accepted it
+   * from an earlier scheduler.
+   */
+  boolean hasBegun() {
+    return startAccepted || hasTask(task -> task.restored && task.phase.mayBeKnownToWorker());
+  }
+
+  /** Returns whether an attempt of one of its tasks is over. */
+  boolean hasEndedAttempt() {
+    return hasTask(task -> task.attempt > 0 && !task.phase.occupiesWorker());
+  }
+
+  private boolean hasTask(Predicate<Task> condition) {
+    return occurrences.stream().flatMap(List::stream).flatMap(List::stream).anyMatch(condition);
+  }
+
   /** Returns whether none of its tasks has an attempt that may occupy a worker. */
   boolean hasNoActiveAttempt() {
-    return occurrences.stream()
-        .flatMap(List::stream)
-        .flatMap(List::stream)
-        .noneMatch(task -> task.phase.occupiesWorker());
+    return !hasTask(task -> task.phase.occupiesWorker());
   }
 
   /** Returns whether all tasks have ended successfully. */
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -40,6 +40,8 @@
   private final VmCommandLog commandLog;
   private final MaintenanceController maintenance;
   private final PoolAutoscaler autoscaler;
+  private final PoolStateLog poolStateLog;
+  private final SchedulerLoad load;
   private final PendingJobCounts pendingCounts;
   private final FinishedJobCleaner jobCleaner;
   private final AdviceTicketCache adviceTickets;
@@ -94,7 +96,8 @@
             demandRate,
             lease::onFenced);
     this.jobFeed = new JobFeed(tracked, clock, log, new JobFeedListener());
-    this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, jobs);
+    this.load = new SchedulerLoad(log);
+    this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, load, jobs);
     this.commandSender =
         new TaskCommandSender(workerClient, clock, log, lease, settings, new TaskCommandListener());
     jobs.setWriterAndSender(progressWriter, commandSender);
@@ -115,33 +118,39 @@
     this.maintenance =
         new MaintenanceController(
             vmClient, clock, log, lease, settings, workers, vmInventory, commandLog, actions);
+    PoolDemand poolDemand = new PoolDemand(demandRate);
+    VmMover vmMover =
+        new VmMover(
+            vmClient,
+            clock,
+            log,
+            lease,
+            settings,
+            workers,
+            config,
+            vmInventory,
+            commandLog,
+            actions);
     this.autoscaler =
         new PoolAutoscaler(
             log,
             lease,
             workers,
             config,
-            new PoolDemand(workers, demandRate),
+            poolDemand,
             vmInventory,
-            new VmMover(
-                vmClient,
-                clock,
-                log,
-                lease,
-                settings,
-                workers,
-                config,
-                vmInventory,
-                commandLog,
-                actions),
+            vmMover,
             maintenance::isDueForMaintenance);
+    this.poolStateLog =
+        new PoolStateLog(
+            log, config, workers::listedInPool, autoscaler::neededInTime, vmMover::countMovesTo);
     this.pendingCounts = new PendingJobCounts(store, lease);
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
     this.adviceTickets = new AdviceTicketCache(adviceClient, clock, log);
     this.placement =
         new Placement(
             config, workers, durationModel, quarantine, adviceTickets, autoscaler::isSurplus, log);
-    this.placementRounds = new PlacementRounds(clock, jobs, placement, progressWriter);
+    this.placementRounds = new PlacementRounds(clock, jobs, placement, progressWriter, load);
   }
 
   /** Creates a scheduler that does not hold the lease yet. */
@@ -178,6 +187,11 @@
     return jobsRestored && lease.isValid();
   }
 
+  /** Returns the measurements of the thread that calls {@link #runDueWork}. */
+  public SchedulerLoad load() {
+    return load;
+  }
+
   /** Returns the last known holder of the lease, by node name; empty if there is none. */
   public String holderNode() {
     return lease.holderNode();
@@ -216,6 +230,7 @@
     pendingCounts.writeIfDue(jobs.all(), now);
     waveStatusWriter.writeIfDue(now);
     jobCleaner.cleanIfDue(now);
+    poolStateLog.writeIfDue(jobs.all(), placement.backlog(), now, clock.wallMillis());
   }
 
   private void restoreJobsIfLoaded() {
