Do not stop a task that may have reached full speed since the last report

Cause: Availability allowed to stop any task below full speed, since it is unavailable already. Four tasks of the step waited for a worker; a fifth had failed and was started again 1.4 s before, was reported as starting up, and had reached full speed by the time of its stop. Class: a decision from an old report, in the direction that does harm if the report is outdated.

Change: within 5 s of its start a task counts as available for this decision, whatever the last report says. After that a task below full speed is not just starting up, so it may be stopped as before; else a wave could never complete with two tasks that stand still.

Test: AvailabilityTest, case "the task may have reached full speed since the last report", failed before. No case was changed.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Availability.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Availability.java
@@ -9,6 +9,12 @@
  * interruptions.
  */
 final class Availability {
+  /**
+   * Time from the start of an attempt within which it usually reaches full speed, in ms. It may
+   * have done so since the last report.
+   */
+  private static final long START_UP_MILLIS = 5_000;
+
   private Availability() {}
 
   /**
@@ -31,7 +37,8 @@
       // The last report on the task is too old for a decision.
       return false;
     }
-    if (!task.isAtFullSpeed(nowMillis)) {
+    boolean isStartingUp = nowMillis - task.confirmedMillis < START_UP_MILLIS;
+    if (!task.isAtFullSpeed(nowMillis) && !isStartingUp) {
       // The task is unavailable already, so stopping it makes no further one unavailable.
       return true;
     }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
@@ -86,8 +86,18 @@
           taskAt(job, 0).speedPercent = 0;
           taskAt(job, 1).speedPercent = 0;
         };
+    Consumer<Job> taskStartsUpAndOtherIsSlow =
+        job -> {
+          taskAndOtherAreSlow.accept(job);
+          taskAt(job, 0).confirmedMillis = NOW_MILLIS - 1_500;
+        };
     return Stream.of(
         Arguments.of("the task's worker has not responded recently", ownReportIsOld, 1, false),
+        Arguments.of(
+            "the task may have reached full speed since the last report",
+            taskStartsUpAndOtherIsSlow,
+            1,
+            false),
         Arguments.of(
             "the task and another are already below full speed", taskAndOtherAreSlow, 1, true),
         Arguments.of("all tasks run", noChange, 1, true),
