--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -152,7 +152,14 @@
         .listen(node.eventLoopGroup, settings.metricsAddress());
     node.schedulerThread.start(node.scheduler);
     node.eventLoopGroup.next().execute(node.configWatcher::start);
-    log.log("process.started", "process", processId, "uptime", jvmUptimeMillis());
+    log.log(
+        "process.started",
+        "process",
+        processId,
+        "uptime",
+        jvmUptimeMillis(),
+        "vmCommandsPerSecond",
+        settings.vmCommandsPerSecond());
     return node;
   }
 
