Let a pool get all workers that its long-running tasks need at once

Cause: tasks of one step may not share a worker, but a backlog of long-running tasks counted as one missing VM, whatever their number: one VM per move time. With faster moves, pools hold only two VMs when such a job comes.

Change: Backlog.workersForLongRunning counts the workers that the largest waiting step needs.

Tests: FleetScaleTest.longRunningTasksWaitForOneVmAfterTheOther, lendingPoolLosesItsLastWorkers, lateJobsWaitForTwoWorkersWhileAllOtherVmsAreOff (which guards the growth for late jobs); PoolDemandTest.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Backlog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Backlog.java
@@ -50,20 +50,52 @@
           tasks + 1);
     }
 
-    /** Returns the resources with which the tasks would all be done after {@code millis}. */
+    /**
+     * Returns the resources with which the tasks would all be done after {@code millis}, or those
+     * of all tasks together if a single one takes longer.
+     */
     Resources neededToFinishWithin(double millis) {
       return new Resources(
-          (long) Math.ceil(cpuWork / millis),
-          (long) Math.ceil(memoryWork / millis),
-          (long) Math.ceil(acceleratorWork / millis));
+          Math.min(resources.cpuMillis(), (long) Math.ceil(cpuWork / millis)),
+          Math.min(resources.memoryMb(), (long) Math.ceil(memoryWork / millis)),
+          Math.min(resources.accelerators(), (long) Math.ceil(acceleratorWork / millis)));
+    }
+  }
+
+  /** A step of one occurrence of a job, and the pool in which its tasks wait. */
+  private record WaitingStep(String pool, String job, int occurrence, int step, int maxPerWorker) {
+    static WaitingStep of(String pool, Task task) {
+      return new WaitingStep(
+          pool, task.id.job(), task.id.occurrence(), task.id.step(), task.step.maxPerWorker());
     }
   }
 
   private final Map<String, PoolBacklog> backlogByPool = new HashMap<>();
+  private final Map<WaitingStep, Integer> waitingLongRunning = new HashMap<>();
   private final Map<String, LateBacklog> lateBacklogByPool = new HashMap<>();
 
   void add(String pool, Task task) {
     backlogByPool.merge(pool, PoolBacklog.EMPTY.plus(task), (current, added) -> current.plus(task));
+    if (task.step.longRunning()) {
+      waitingLongRunning.merge(WaitingStep.of(pool, task), 1, Integer::sum);
+    }
+  }
+
+  /**
+   * Returns how many more workers a pool needs for its waiting long-running tasks, since a worker
+   * runs only some tasks of a step: the most that any step needs, and at least one if any task
+   * waits.
+   */
+  int workersForLongRunning(String pool) {
+    int needed = 0;
+    for (Map.Entry<WaitingStep, Integer> entry : waitingLongRunning.entrySet()) {
+      if (entry.getKey().pool().equals(pool)) {
+        int maxPerWorker = entry.getKey().maxPerWorker();
+        int workers = maxPerWorker == 0 ? 1 : (entry.getValue() + maxPerWorker - 1) / maxPerWorker;
+        needed = Math.max(needed, workers);
+      }
+    }
+    return needed;
   }
 
   /** Adds a task of a late or excess job. */
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -127,6 +127,8 @@
     updateSurplusWorkers(settings.get(), backlog, nowMillis);
     vmInventory.refreshIfDue(nowMillis);
     if (!vmInventory.isFresh(nowMillis)) {
+      // No VM can be moved now, so late and excess jobs need not leave workers free.
+      shortPools = ImmutableSet.of();
       return;
     }
     addVms(settings.get(), backlog, nowMillis);
@@ -220,8 +222,10 @@
     Resources vmCapacity = vmCapacityOf(usage);
     int missing =
         Math.max(
-            PoolDemand.missingForBacklog(poolBacklog, usage.capacity(), vmCapacity),
-            PoolDemand.missingForArrivals(neededForArrivals, usage.capacity(), vmCapacity));
+            backlog.workersForLongRunning(pool),
+            Math.max(
+                PoolDemand.missingForBacklog(poolBacklog, usage.capacity(), vmCapacity),
+                PoolDemand.missingForArrivals(neededForArrivals, usage.capacity(), vmCapacity)));
     String reason =
         "backlog of "
             + poolBacklog.tasks()
@@ -313,7 +317,7 @@
       boolean isMovableNow =
           !currentPool.equals(pool)
               && backlog.forPool(currentPool).tasks() == 0
-              && usageOf(currentPool).workers() > MIN_WORKERS
+              && usageOf(currentPool).uncordonedWorkers() > MIN_WORKERS
               && isWorkerMovable(worker, pool, nowMillis)
               && canSpareForOther(worker, backlog, nowMillis);
       if (isIdle && isMovableNow) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/FleetScaleTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/FleetScaleTest.java
@@ -169,6 +169,71 @@
             inTime, laterJobs.size(), TARGET_START_MILLIS, workersAtEndOfTurn, vms));
   }
 
+  /** Guards against a pool that lends its VMs to another until it has none left. */
+  @ParameterizedTest
+  @ValueSource(ints = {30, 100, 300})
+  void lendingPoolLosesItsLastWorkers(int vms) {
+    Play play =
+        new Play(
+            ImmutableMap.of(
+                BUSY_POOL,
+                WORKERS_OF_IDLE_POOL,
+                IDLE_POOL,
+                vms - WORKERS_OF_IDLE_POOL,
+                SimLayout.STANDBY_POOL,
+                0));
+    long fewestWorkers = vms;
+    for (int elapsed = 0; elapsed < 8_000; elapsed += CHECK_INTERVAL_MILLIS) {
+      play.submitFor(CHECK_INTERVAL_MILLIS, vms * CORES_PER_WORKER);
+      fewestWorkers = Math.min(fewestWorkers, play.fleet.workerCount(IDLE_POOL));
+    }
+    assertTrue(
+        fewestWorkers >= WORKERS_OF_IDLE_POOL, fewestWorkers + " workers in the lending pool");
+  }
+
+  /** Guards against a pool that gets one VM at a time for long-running tasks. */
+  @Test
+  void longRunningTasksWaitForOneVmAfterTheOther() {
+    int tasks = 12;
+    Play play =
+        new Play(
+            ImmutableMap.of(
+                BUSY_POOL, WORKERS_OF_IDLE_POOL, SimLayout.STANDBY_POOL, /* VMs */ 2 * tasks));
+    play.fleet.submitToOpenQueue(
+        "job",
+        BUSY_POOL,
+        TestJobs.step(
+            tasks,
+            /* cpuMillis= */ 1_000,
+            /* estimatedMillis= */ 600_000,
+            TestJobs.StepKind.LONG_RUNNING,
+            /* maxPerWorker= */ 1));
+    play.fleet.runFor(TARGET_START_MILLIS);
+    assertTrue(
+        play.fleet.workerCount(BUSY_POOL) >= tasks,
+        play.fleet.workerCount(BUSY_POOL) + " workers for " + tasks + " tasks");
+  }
+
+  /** Guards against a pool that never grows for jobs that became late during an outage. */
+  @ParameterizedTest
+  @ValueSource(ints = {30, 100, 300})
+  void lateJobsWaitForTwoWorkersWhileAllOtherVmsAreOff(int vms) {
+    Play play =
+        new Play(
+            ImmutableMap.of(
+                BUSY_POOL,
+                WORKERS_OF_IDLE_POOL,
+                SimLayout.STANDBY_POOL,
+                vms - WORKERS_OF_IDLE_POOL));
+    play.fleet.killNode("n0");
+    play.submitFor(TARGET_START_MILLIS, vms * CORES_PER_WORKER / 2.0);
+    play.fleet.runFor(/* millis= */ 15_000);
+    play.fleet.startNode("n0");
+    // The new process waits for the end of the lease, and the pool grows after that.
+    play.fleet.runFor(/* millis= */ 5_000 + 3 * TARGET_START_MILLIS);
+    assertEquals(0, play.unfinishedJobCount(), "unfinished of " + play.jobs.size() + " jobs");
+  }
+
   /** Guards against counting a job as started when a worker was chosen but never reached. */
   @Test
   void pendingCountLeavesOutJobsThatHaveNotBegun() {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolDemandTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolDemandTest.java
@@ -72,6 +72,19 @@
     assertEquals(Backlog.PoolBacklog.EMPTY, backlog.forPool("b"));
   }
 
+  @ParameterizedTest
+  @CsvSource({"24, 0, 1", "24, 1, 24", "24, 2, 12", "23, 2, 12", "1, 4, 1"})
+  void longRunningTasksNeedAsManyWorkersAsTheirMaximumRequires(
+      int tasks, int maxPerWorker, int expectedWorkers) {
+    Backlog backlog = new Backlog();
+    Job job =
+        TestJobs.jobAcceptedAt(
+            0, TestJobs.step(tasks, 100, 500, TestJobs.StepKind.LONG_RUNNING, maxPerWorker));
+    job.forEachTask(task -> backlog.add("pool", task));
+    assertEquals(expectedWorkers, backlog.workersForLongRunning("pool"));
+    assertEquals(0, backlog.workersForLongRunning("other"));
+  }
+
   /** Guards against powering off VMs that waiting tasks of late jobs could use. */
   @ParameterizedTest
   @CsvSource({"0, true", "15, true", "16, true", "17, false"})
@@ -92,6 +105,15 @@
         DEMAND.neededToCatchUp("pool", PoolUsage.EMPTY, backlog, /* nowMillis= */ 0));
   }
 
+  /** Guards against a pool that gets more VMs than a few very long tasks can use. */
+  @Test
+  void lateTasksNeedNoMoreThanTheyCanUse() {
+    Backlog backlog = backlogOfLateTasks(3, /* expectedMillis= */ 600_000);
+    assertEquals(
+        new Resources(3_000, 3_000, 0),
+        DEMAND.neededToCatchUp("pool", PoolUsage.EMPTY, backlog, /* nowMillis= */ 0));
+  }
+
   private static Backlog backlogOfLateTasks(int tasks, double expectedMillis) {
     Backlog backlog = new Backlog();
     Task task =
