Keep no VMs for late tasks that no worker can run

Cause: a job that can never run (larger than any worker, a label that none has, beyond the limit of its team) becomes late and waits forever. Since late jobs count as needed, its tasks would hold and fetch VMs for as long as it waits.

Change: tasks of late jobs count only if a worker of some kind could run them when empty, and only as many as the team's upper limit admits.

Test: WorkerIndexTest.tasksThatExceedEveryWorkerHaveNoKind. The limit has no test of its own.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -223,16 +223,36 @@
     return isPlaced;
   }
 
-  /** Adds tasks to the backlog of their pool, for which {@link PoolAutoscaler} may add VMs. */
+  /**
+   * Adds tasks of one step to the backlog of their pool, for which {@link PoolAutoscaler} may add
+   * VMs. Those of late and excess jobs are left out if they could not start with more VMs either:
+   * such jobs may wait forever.
+   */
   private void addToBacklog(Candidate candidate, List<Task> tasks) {
     String pool = candidate.queue().pool();
     if (candidate.rank().justifiesMoreWorkers()) {
       tasks.forEach(task -> backlog.add(pool, task));
-    } else {
+    } else if (workers.hasKindFor(tasks.get(0).step)) {
       double expectedMillis =
           durationModel.expectedMillis(candidate.queue().name(), tasks.get(0).step);
-      tasks.forEach(task -> backlog.addLate(pool, task, expectedMillis));
+      tasksWithinTeamLimit(candidate.job(), tasks)
+          .forEach(task -> backlog.addLate(pool, task, expectedMillis));
+    }
+  }
+
+  /** Returns the first of the tasks, as many as the upper limit of the job's team admits. */
+  private List<Task> tasksWithinTeamLimit(Job job, List<Task> tasks) {
+    Resources teamLimit = config.upperLimitOf(job.spec.team());
+    Resources sum = Resources.NONE;
+    int admitted = 0;
+    for (Task task : tasks) {
+      sum = sum.plus(task.teamResources());
+      if (!job.teamUsage.admits(sum, teamLimit)) {
+        break;
+      }
+      admitted++;
     }
+    return tasks.subList(0, admitted);
   }
 
   private boolean tryPlaceGang(
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerIndex.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerIndex.java
@@ -2,11 +2,14 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.api.fleet.StepSpec;
 
 /**
  * The workers of a {@link WorkerRegistry} by pool and by VM, as of one state of the registry.
@@ -15,7 +18,16 @@
  * each of its passes. With an index, the cost of a lookup does not grow with the fleet.
  */
 final class WorkerIndex {
+  /** What decides which tasks an empty worker could run. */
+  private record Kind(Resources capacity, ImmutableList<String> labels) {
+    boolean canRun(StepSpec step) {
+      return capacity.covers(step.reservedResources())
+          && (step.requiredLabel().isEmpty() || labels.contains(step.requiredLabel()));
+    }
+  }
+
   private final ImmutableList<Worker> all;
+  private final ImmutableSet<Kind> kinds;
   private final ImmutableListMultimap<String, Worker> listedByPool;
   private final Map<String, Worker> listedByVm = new HashMap<>();
 
@@ -31,6 +43,10 @@
       }
     }
     this.listedByPool = byPool.build();
+    this.kinds =
+        registered.stream()
+            .map(worker -> new Kind(worker.entry.capacity(), worker.entry.labels()))
+            .collect(ImmutableSet.toImmutableSet());
   }
 
   /**
@@ -48,6 +64,11 @@
     return all;
   }
 
+  /** Returns whether any worker could run a task of this step if it were empty. */
+  boolean hasKindFor(StepSpec step) {
+    return kinds.stream().anyMatch(kind -> kind.canRun(step));
+  }
+
   List<Worker> listedInPool(String pool) {
     return listedByPool.get(pool);
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -18,6 +18,7 @@
 import org.sassafraslink.api.fleet.RowStore.Range;
 import org.sassafraslink.api.fleet.RowStore.Rows;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
+import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.WorkerEntry;
 import org.sassafraslink.api.log.EventLog;
 
@@ -111,6 +112,11 @@
     return index().listedOnVm(vm);
   }
 
+  /** Returns whether any worker could run a task of this step if it were empty. */
+  boolean hasKindFor(StepSpec step) {
+    return index().hasKindFor(step);
+  }
+
   private WorkerIndex index() {
     if (index == null) {
       index = WorkerIndex.of(workersById.values(), jobRowWorkers);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerIndexTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerIndexTest.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against tasks on workers that the platform no longer lists, or of another pool. */
 class WorkerIndexTest {
@@ -36,4 +38,12 @@
   void containsAllWorkersThatMayRunTasks() {
     assertEquals(List.of(second, first, unlisted, inOtherPool, ofJobRow), index.all());
   }
+
+  /** Guards against VMs that are kept for tasks that no worker can ever run. */
+  @ParameterizedTest
+  @CsvSource({"16000, true", "16001, false"})
+  void tasksThatExceedEveryWorkerHaveNoKind(long cpuMillis, boolean expected) {
+    assertEquals(
+        expected, index.hasKindFor(TestJobs.step(1, cpuMillis, 500, TestJobs.StepKind.PLAIN, 0)));
+  }
 }
