--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
@@ -49,6 +49,13 @@
   private final List<RowStore.StoredRow> history = new ArrayList<>();
 
   private final Map<String, Behavior> behaviorByNode = new HashMap<>();
+
+  /** How long a transaction occupies its partition, in ms; 0 if they do not wait for each other. */
+  private int transactionMillis;
+
+  /** When all transactions sent so far to a partition will have been applied, by partition. */
+  private final Map<String, Long> busyUntilMillisByPartition = new HashMap<>();
+
   private long lastVersion = 10;
   private long lastDiscardedVersion;
 
@@ -62,6 +69,14 @@
     behaviorByNode.put(node, behavior);
   }
 
+  /**
+   * From now on applies the transactions of one partition one after the other, each of which takes
+   * {@code millis} ms. A response that takes longer than the time limit of calls is lost.
+   */
+  public void setTransactionMillis(int millis) {
+    transactionMillis = millis;
+  }
+
   /** Discards the history of changes, so that readers of changes must read all rows again. */
   public void discardHistory() {
     lastDiscardedVersion = lastVersion;
@@ -183,13 +198,18 @@
       Transaction transaction =
           disabled.contains(DisabledMechanism.COMMIT_CHECKS) ? withoutChecks(requested) : requested;
       switch (behavior()) {
-        case NORMAL ->
+        case NORMAL -> {
+          if (transactionMillis > 0) {
+            commitInTurn(transaction, done);
+          } else {
             clock.runAfter(
                 COMMIT_LATENCY_MILLIS + random.nextInt(4),
                 () -> {
                   Outcome outcome = commitAtomically(transaction);
                   clock.runAfter(1, () -> done.accept(outcome));
                 });
+          }
+        }
         case FAILS_CALLS ->
             clock.runAfter(2, () -> done.accept(new Outcome.Failed(CallFailure.NOT_PERFORMED)));
         case UNRESPONSIVE ->
@@ -211,6 +231,38 @@
       }
     }
 
+    /** Applies a transaction after all that were sent to its partition before. */
+    private void commitInTurn(Transaction transaction, Consumer<Outcome> done) {
+      long now = clock.nowMillis();
+      long appliedMillis =
+          transactionMillis
+              + Math.max(
+                  now, busyUntilMillisByPartition.getOrDefault(partitionOf(transaction), now));
+      busyUntilMillisByPartition.put(partitionOf(transaction), appliedMillis);
+      boolean isAnswered = appliedMillis - now < CALL_TIMEOUT_MILLIS;
+      clock.runAfter(
+          appliedMillis - now,
+          () -> {
+            Outcome outcome = commitAtomically(transaction);
+            if (isAnswered) {
+              clock.runAfter(1, () -> done.accept(outcome));
+            }
+          });
+      if (!isAnswered) {
+        clock.runAfter(
+            CALL_TIMEOUT_MILLIS,
+            () -> done.accept(new Outcome.Failed(CallFailure.OUTCOME_UNKNOWN)));
+      }
+    }
+
+    private static String partitionOf(Transaction transaction) {
+      return Stream.concat(
+              transaction.puts().stream().map(Put::key), transaction.deletes().stream())
+          .map(RowKey::partition)
+          .findFirst()
+          .orElseThrow();
+    }
+
     /**
      * Returns a transaction without its expectations. One that writes the control table keeps them,
      * since these rows hold the scheduler lease.
