Commit the decisions about jobs in eight partitions

No commit failed.

Every start needs a commit, and all commits went to the partition of the lease, which takes one transaction at a time: at 336 ms each, at most 134 changes of jobs a second, less the renewals of the lease.

The progress, cancellation and final state of a job now are in one of eight partitions by the job's id, each with its own sequence of transactions. These cannot check the holder row of the lease, since a transaction spans one partition. DecisionFences therefore writes the epoch of a new holder into a fence row of each partition, at the version that it has seen with a lower epoch, before the holder reads the rows of jobs; commits expect the fence's version. A late commit or a late fence write of an earlier scheduler fails in every partition.

Submission rows now say that the job has a decision partition. Jobs that a previous version accepted keep their rows in the main partition and check the holder row. Processes of both versions must not run side by side.

The simulated store now reports a change of a partition whose fence names another node, and a fence that is replaced by one with a lower epoch.

--- a/entry/src/main/java/org/sassafraslink/entry/process/PlatformRowFormats.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/PlatformRowFormats.java
@@ -32,6 +32,11 @@
     return JobCodec.decodeRow(id, row);
   }
 
+  @Override
+  public boolean hasDecisionPartition(String row) {
+    return JobCodec.hasDecisionPartition(row);
+  }
+
   @Override
   public Put encodeWaveStatus(long wave, boolean completed) {
     return OperatorRows.encodeWaveStatus(wave, completed);
--- a/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
@@ -174,14 +174,14 @@
   }
 
   private void respondWithState(String jobId, Consumer<CallerResponse> callback) {
-    readJobRows(
+    readStateRows(
         jobId,
         result -> {
           if (result.isLeft()) {
             callback.accept(storeUnavailable());
             return;
           }
-          Optional<JobState> state = JobRows.jobState(result.get());
+          Optional<JobState> state = JobRows.jobState(result.get().rows());
           callback.accept(
               state
                   .map(jobState -> CallerResponse.ok(JobCodec.encodeState(jobState)))
@@ -189,52 +189,96 @@
         });
   }
 
+  /**
+   * The rows that determine a job's state.
+   *
+   * @param decisionPartition the partition for the job's cancellation
+   */
+  private record StateRows(String decisionPartition, ImmutableList<StoredRow> rows) {}
+
   /**
    * Reads the rows that determine a job's state. The submission is in another partition and is read
    * only if the scheduler has written nothing about the job and no cancellation exists.
    */
-  private void readJobRows(
-      String jobId, Consumer<Either<CallFailure, ImmutableList<StoredRow>>> callback) {
+  private void readStateRows(String jobId, Consumer<Either<CallFailure, StateRows>> callback) {
+    String partition = JobRows.decisionPartition(jobId);
+    store.read(
+        JobRows.decisionRange(partition, jobId),
+        decisionRows -> {
+          boolean isKnown = decisionRows.isRight() && !decisionRows.get().rows().isEmpty();
+          if (decisionRows.isLeft() || isKnown) {
+            callback.accept(decisionRows.map(rows -> new StateRows(partition, rows.rows())));
+          } else {
+            readSubmission(jobId, callback);
+          }
+        });
+  }
+
+  private void readSubmission(String jobId, Consumer<Either<CallFailure, StateRows>> callback) {
     store.read(
-        JobRows.mainPartitionRange(jobId),
-        mainRows -> {
-          boolean isKnown = mainRows.isRight() && !mainRows.get().rows().isEmpty();
-          if (mainRows.isLeft() || isKnown) {
-            callback.accept(mainRows.map(Rows::rows));
+        JobRows.submissionRange(jobId),
+        submissionRows -> {
+          boolean isFromPreviousVersion =
+              submissionRows.isRight()
+                  && JobRows.findRow(submissionRows.get().rows(), Kind.SUBMISSION)
+                      .filter(row -> !JobCodec.hasDecisionPartition(row.value()))
+                      .isPresent();
+          if (isFromPreviousVersion) {
+            readMainPartition(jobId, submissionRows.get().rows(), callback);
           } else {
-            store.read(
-                JobRows.submissionRange(jobId),
-                submissionRows -> callback.accept(submissionRows.map(Rows::rows)));
+            callback.accept(
+                submissionRows.map(
+                    rows -> new StateRows(JobRows.decisionPartition(jobId), rows.rows())));
           }
         });
   }
 
+  /** Reads the decision rows of a job that was submitted to a previous version. */
+  private void readMainPartition(
+      String jobId,
+      ImmutableList<StoredRow> submissionRows,
+      Consumer<Either<CallFailure, StateRows>> callback) {
+    store.read(
+        JobRows.decisionRange(JobRows.MAIN_PARTITION, jobId),
+        mainRows ->
+            callback.accept(
+                mainRows
+                    .map(Rows::rows)
+                    .map(rows -> rows.isEmpty() ? submissionRows : rows)
+                    .map(rows -> new StateRows(JobRows.MAIN_PARTITION, rows))));
+  }
+
   private void cancel(
       CallerRequest request, String jobId, int retries, Consumer<CallerResponse> callback) {
-    readJobRows(
+    readStateRows(
         jobId,
         result -> {
           if (result.isLeft()) {
             retryCancel(request, jobId, retries, result.getLeft(), callback);
             return;
           }
-          Optional<JobState> state = JobRows.jobState(result.get());
+          Optional<JobState> state = JobRows.jobState(result.get().rows());
           if (state.equals(Optional.of(JobState.CANCELLED))) {
             callback.accept(CallerResponse.ok());
           } else if (state.isEmpty() || state.get().isFinal()) {
             callback.accept(CallerResponse.jobNotFound());
           } else {
-            insertCancellation(request, jobId, retries, callback);
+            insertCancellation(request, jobId, result.get().decisionPartition(), retries, callback);
           }
         });
   }
 
   private void insertCancellation(
-      CallerRequest request, String jobId, int retries, Consumer<CallerResponse> callback) {
-    RowKey key = JobRows.key(jobId, Kind.CANCELLATION);
+      CallerRequest request,
+      String jobId,
+      String partition,
+      int retries,
+      Consumer<CallerResponse> callback) {
+    RowKey key = JobRows.decisionKey(partition, jobId, Kind.CANCELLATION);
+    RowKey finalKey = JobRows.decisionKey(partition, jobId, Kind.FINAL);
     Transaction transaction =
         new Transaction(
-            ImmutableList.of(new Expectation(JobRows.key(jobId, Kind.FINAL), RowStore.ABSENT)),
+            ImmutableList.of(new Expectation(finalKey, RowStore.ABSENT)),
             ImmutableList.of(new Put(key, "{}")),
             ImmutableList.of());
     store.commit(
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/FinishedJobCleaner.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/FinishedJobCleaner.java
@@ -53,6 +53,7 @@
   private static final class FinishedJob {
     private final String jobId;
     private final JobState state;
+    private final String decisionPartition;
     private final long addedMillis;
 
     /** The version of the ended row; {@link RowStore#ABSENT} before it is committed. */
@@ -61,9 +62,10 @@
     /** Whether the {@link Kind#FINAL} row may still be stored. */
     private boolean hasFinalRow = true;
 
-    FinishedJob(String jobId, JobState state, long addedMillis) {
+    FinishedJob(String jobId, JobState state, String decisionPartition, long addedMillis) {
       this.jobId = jobId;
       this.state = state;
+      this.decisionPartition = decisionPartition;
       this.addedMillis = addedMillis;
     }
   }
@@ -71,6 +73,7 @@
   private final RowStore store;
   private final FleetClock clock;
   private final SchedulerLease lease;
+  private final DecisionFences fences;
   private final long retentionMillis;
 
   /** The finished jobs by id, in the order in which they were added. */
@@ -88,10 +91,15 @@
   private long generation;
 
   FinishedJobCleaner(
-      RowStore store, FleetClock clock, SchedulerLease lease, long minRetentionMillis) {
+      RowStore store,
+      FleetClock clock,
+      SchedulerLease lease,
+      DecisionFences fences,
+      long minRetentionMillis) {
     this.store = store;
     this.clock = clock;
     this.lease = lease;
+    this.fences = fences;
     this.retentionMillis = (long) (minRetentionMillis * RETENTION_FACTOR);
   }
 
@@ -105,10 +113,12 @@
   /**
    * Adds a finished job, unless it was added before.
    *
+   * @param decisionPartition the partition that holds its {@link Kind#FINAL} row
    * @param endedRow the row that has replaced its submission; empty if none has yet
    */
-  void add(String jobId, JobState state, Optional<StoredRow> endedRow) {
-    FinishedJob finished = new FinishedJob(jobId, state, clock.monotonicMillis());
+  void add(String jobId, JobState state, String decisionPartition, Optional<StoredRow> endedRow) {
+    FinishedJob finished =
+        new FinishedJob(jobId, state, decisionPartition, clock.monotonicMillis());
     if (finishedJobs.putIfAbsent(jobId, finished) != null) {
       return;
     }
@@ -169,18 +179,20 @@
   }
 
   private void deleteExpiredRows(long nowMillis) {
-    List<FinishedJob> withFinalRow = new ArrayList<>();
+    Map<String, List<FinishedJob>> withFinalRow = new HashMap<>();
     Map<String, List<FinishedJob>> withoutFinalRow = new HashMap<>();
     for (FinishedJob finished : finishedJobs.values()) {
       boolean isRetained = nowMillis - finished.addedMillis < retentionMillis;
-      if (isRetained || withFinalRow.size() >= MAX_JOBS_PER_TRANSACTION) {
+      if (isRetained) {
         break;
       }
       if (finished.endedRowVersion == RowStore.ABSENT) {
         continue;
       }
       if (finished.hasFinalRow) {
-        withFinalRow.add(finished);
+        withFinalRow
+            .computeIfAbsent(finished.decisionPartition, partition -> new ArrayList<>())
+            .add(finished);
       } else {
         withoutFinalRow
             .computeIfAbsent(
@@ -188,9 +200,12 @@
             .add(finished);
       }
     }
-    if (!withFinalRow.isEmpty() && busyPartitions.add(JobRows.MAIN_PARTITION)) {
-      deleteFinalRows(withFinalRow);
-    }
+    withFinalRow.forEach(
+        (partition, finished) -> {
+          if (busyPartitions.add(partition)) {
+            deleteFinalRows(partition, finished);
+          }
+        });
     withoutFinalRow.forEach(
         (partition, finished) -> {
           if (busyPartitions.add(partition)) {
@@ -199,14 +214,17 @@
         });
   }
 
-  private void deleteFinalRows(List<FinishedJob> batch) {
+  private void deleteFinalRows(String partition, List<FinishedJob> expired) {
+    List<FinishedJob> batch =
+        expired.subList(0, Math.min(MAX_JOBS_PER_TRANSACTION, expired.size()));
     ImmutableList<RowKey> keys =
         batch.stream()
-            .map(finished -> JobRows.key(finished.jobId, Kind.FINAL))
+            .map(finished -> JobRows.decisionKey(partition, finished.jobId, Kind.FINAL))
             .collect(ImmutableList.toImmutableList());
     commit(
-        JobRows.MAIN_PARTITION,
-        new Transaction(ImmutableList.of(lease.holderExpectation()), ImmutableList.of(), keys),
+        partition,
+        new Transaction(
+            ImmutableList.of(fences.expectationFor(partition)), ImmutableList.of(), keys),
         outcome -> {
           if (outcome instanceof Outcome.Committed) {
             batch.forEach(finished -> finished.hasFinalRow = false);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -23,6 +23,9 @@
   /** When this process first read the job, monotonic ms. */
   final long firstSeenMillis;
 
+  /** The partition that holds its progress, its cancellation and its final state. */
+  String decisionPartition;
+
   /** The version of its progress row; {@link RowStore#ABSENT} before the first commit. */
   long progressRowVersion = RowStore.ABSENT;
 
@@ -60,6 +63,7 @@
 
   private Job(JobSpec spec, TeamUsage team, long firstSeenMillis) {
     this.spec = spec;
+    this.decisionPartition = JobRows.decisionPartition(spec.id());
     this.teamUsage = team;
     this.firstSeenMillis = firstSeenMillis;
     ImmutableList.Builder<ImmutableList<ImmutableList<Task>>> builder = ImmutableList.builder();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -121,12 +121,15 @@
           ImmutableList<StoredRow> jobRows = ImmutableList.copyOf(rowsOfJob);
           Optional<StoredRow> submission = JobRows.findRow(jobRows, Kind.SUBMISSION);
           Optional<JobState> finalState = JobRows.jobState(jobRows).filter(JobState::isFinal);
-          boolean hasEnded =
-              JobRows.findRow(jobRows, Kind.FINAL).isPresent()
-                  || JobRows.findRow(jobRows, Kind.ENDED).isPresent();
-          if (hasEnded) {
+          Optional<StoredRow> finalRow = JobRows.findRow(jobRows, Kind.FINAL);
+          Optional<StoredRow> endedRow = JobRows.findRow(jobRows, Kind.ENDED);
+          if (finalRow.isPresent() || endedRow.isPresent()) {
+            String decisionPartition =
+                finalRow
+                    .map(row -> row.key().partition())
+                    .orElseGet(() -> JobRows.decisionPartition(id));
             finalState.ifPresent(
-                state -> finishedJobCleaner.add(id, state, JobRows.findRow(jobRows, Kind.ENDED)));
+                state -> finishedJobCleaner.add(id, state, decisionPartition, endedRow));
           } else if (submission.isPresent()) {
             decodeSubmission(id, submission.get())
                 .ifPresent(spec -> rowsByLiveJob.put(spec, jobRows));
@@ -134,7 +137,12 @@
         });
     rowsByLiveJob.entrySet().stream()
         .sorted(Comparator.comparingLong(entry -> entry.getKey().acceptedMillis()))
-        .forEach(entry -> restore(addJob(entry.getKey()), entry.getValue()));
+        .forEach(
+            entry -> {
+              ImmutableList<StoredRow> jobRows = entry.getValue();
+              StoredRow submission = JobRows.findRow(jobRows, Kind.SUBMISSION).orElseThrow();
+              restore(addJob(entry.getKey(), submission), jobRows);
+            });
   }
 
   private void restore(Job job, ImmutableList<StoredRow> rows) {
@@ -169,7 +177,7 @@
     // A full read of the rows may still find the submission of a job that has finished.
     boolean isNew = job == null && !finishedJobCleaner.contains(id);
     if (kind.equals(Optional.of(Kind.SUBMISSION)) && isNew) {
-      decodeSubmission(id, row).ifPresent(this::addJob);
+      decodeSubmission(id, row).ifPresent(spec -> addJob(spec, row));
     } else if (kind.equals(Optional.of(Kind.CANCELLATION)) && job != null) {
       cancel(job);
     }
@@ -183,9 +191,12 @@
     return spec.toJavaOptional();
   }
 
-  private Job addJob(JobSpec spec) {
+  private Job addJob(JobSpec spec, StoredRow submission) {
     TeamUsage teamUsage = usageByTeam.computeIfAbsent(spec.team(), TeamUsage::new);
     Job job = Job.create(spec, teamUsage, clock.monotonicMillis());
+    if (!rowFormats.hasDecisionPartition(submission.value())) {
+      job.decisionPartition = JobRows.MAIN_PARTITION;
+    }
     job.isExcess =
         teamRate.isExcess(spec.team(), spec.acceptedMillis(), config.weightOf(spec.team()));
     jobsById.put(spec.id(), job);
@@ -354,7 +365,7 @@
   @Override
   public void onCommitted(Job job) {
     if (job.finalCommitted) {
-      finishedJobCleaner.add(job.spec.id(), job.state, Optional.empty());
+      finishedJobCleaner.add(job.spec.id(), job.state, job.decisionPartition, Optional.empty());
       log.log(
           "job.shown",
           "job",
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRows.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRows.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.RowStore.Range;
 import org.sassafraslink.api.fleet.RowStore.RowKey;
@@ -10,12 +11,13 @@
 /**
  * Defines the keys of the rows of jobs and derives a job's state from its rows.
  *
- * <p>The scheduler writes its decisions to one partition, which also holds its lease, so that these
- * transactions can check the lease. Submissions are distributed over many partitions by the job's
- * id, since the store applies the transactions of one partition one after the other: with many
- * partitions, the store accepts all submissions even if its responses are slow for seconds. Entry
+ * <p>The store applies the transactions of one partition one after the other. Rows are therefore
+ * distributed over many partitions by the job's id, so that the store accepts all submissions and
+ * the scheduler commits all its decisions even if the store's responses are slow for seconds. Entry
  * VMs insert submissions and cancellations; only the holder of the scheduling lease writes the
- * other rows.
+ * other rows. A job's progress, cancellation and final state are its decision rows. They are in one
+ * partition, since a final state and a cancellation exclude each other; {@link DecisionFences}
+ * describes how their transactions check the lease.
  *
  * <p>The submission row is kept after the job's final state is written, until an {@link Kind#ENDED}
  * row replaces it in the same partition. A repeated submission of the same id is thus detected
@@ -26,11 +28,19 @@
   public static final String TABLE = "jobs";
 
   /**
-   * The partition that holds the scheduling lease and all rows of jobs except submissions and the
-   * ended rows that replace them.
+   * The partition that holds the scheduling lease. It also holds the decision rows of the jobs that
+   * were submitted to a previous version, which had no decision partitions.
    */
   public static final String MAIN_PARTITION = "main";
 
+  /**
+   * The number of partitions that hold the decision rows of jobs. In bursts of 80 jobs per second
+   * with two steps, about 500 changes per second must be committed; while the store takes 340 ms
+   * for a transaction, one partition takes 130. Each partition costs one more read and one or two
+   * more writes when a scheduler starts.
+   */
+  private static final int DECISION_PARTITIONS = 8;
+
   /**
    * The number of partitions that hold the submissions. In bursts of 80 submissions per second,
    * each partition gets about 3 per second. Each partition costs one more read when a scheduler
@@ -63,19 +73,47 @@
 
   private JobRows() {}
 
-  /** Returns the key of a job's row of the given kind. */
+  /** Returns the key of a job's row of the given kind; see {@link #decisionKey} for older jobs. */
   public static RowKey key(String jobId, Kind kind) {
     boolean isInSubmissionPartition = kind == Kind.SUBMISSION || kind == Kind.ENDED;
-    String partition = isInSubmissionPartition ? submissionPartition(jobId) : MAIN_PARTITION;
-    return new RowKey(TABLE, partition, jobId + "/" + kind.suffix);
+    return isInSubmissionPartition
+        ? keyIn(submissionPartition(jobId), jobId, kind)
+        : decisionKey(decisionPartition(jobId), jobId, kind);
   }
 
   /**
-   * Returns the range of a job's rows in {@link #MAIN_PARTITION}: progress, cancellation, final
-   * state.
+   * Returns the key of a decision row of a job.
+   *
+   * @param partition {@link #decisionPartition}, or {@link #MAIN_PARTITION} for a job that was
+   *     submitted to a previous version
    */
-  public static Range mainPartitionRange(String jobId) {
-    return new Range(TABLE, MAIN_PARTITION, jobId + "/", jobId + CHAR_AFTER_SEPARATOR);
+  public static RowKey decisionKey(String partition, String jobId, Kind kind) {
+    return keyIn(partition, jobId, kind);
+  }
+
+  private static RowKey keyIn(String partition, String jobId, Kind kind) {
+    return new RowKey(TABLE, partition, jobId + "/" + kind.suffix);
+  }
+
+  /** Returns the range of a job's decision rows in a partition; see {@link #decisionKey}. */
+  public static Range decisionRange(String partition, String jobId) {
+    return new Range(TABLE, partition, jobId + "/", jobId + CHAR_AFTER_SEPARATOR);
+  }
+
+  /** Returns the partition that holds the decision rows of a job. */
+  public static String decisionPartition(String jobId) {
+    return decisionPartitionName(Math.floorMod(jobId.hashCode(), DECISION_PARTITIONS));
+  }
+
+  private static String decisionPartitionName(int number) {
+    return "runs-" + number;
+  }
+
+  /** Returns all partitions of decision rows except {@link #MAIN_PARTITION}. */
+  static ImmutableList<String> decisionPartitions() {
+    return IntStream.range(0, DECISION_PARTITIONS)
+        .mapToObj(JobRows::decisionPartitionName)
+        .collect(ImmutableList.toImmutableList());
   }
 
   /** Returns the range of a job's submission row or of the ended row that has replaced it. */
@@ -92,6 +130,7 @@
   static ImmutableList<String> partitions() {
     ImmutableList.Builder<String> partitions = ImmutableList.builder();
     partitions.add(MAIN_PARTITION);
+    partitions.addAll(decisionPartitions());
     for (int number = 0; number < SUBMISSION_PARTITIONS; number++) {
       partitions.add(submissionPartitionName(number));
     }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/RowFormats.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/RowFormats.java
@@ -19,6 +19,12 @@
   /** Decodes the value of a submission row; {@code id} is the id of its job. */
   Either<Failure, JobSpec> decodeJob(String id, String rowValue);
 
+  /**
+   * Returns whether the job of a submission row has its decision rows in a decision partition;
+   * false if it was submitted to a previous version, which stored them in the main partition.
+   */
+  boolean hasDecisionPartition(String rowValue);
+
   /** Encodes the row that shows the operator whether a maintenance wave is completed. */
   Put encodeWaveStatus(long wave, boolean completed);
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -31,6 +31,7 @@
   private final SchedulerSettings settings;
   private final JobRegistry jobs;
   private final SchedulerLease lease;
+  private final DecisionFences fences;
   private final WorkerRegistry workers;
   private final JobFeed jobFeed;
   private final JobProgressWriter progressWriter;
@@ -79,9 +80,10 @@
     ResponseTrackingRowStore tracked = new ResponseTrackingRowStore(store, clock);
     this.lease =
         new SchedulerLease(tracked, clock, log, settings, holderWatch, new LeaseListener());
+    this.fences = new DecisionFences(tracked, clock, log, lease, settings.process());
     this.workers = new WorkerRegistry(tracked, clock, log, formats, this::releaseTasksOf);
     this.jobCleaner =
-        new FinishedJobCleaner(tracked, clock, lease, settings.finalStateRetentionMillis());
+        new FinishedJobCleaner(tracked, clock, lease, fences, settings.finalStateRetentionMillis());
     this.quarantine = new Quarantine(log);
     this.jobs =
         new JobRegistry(
@@ -97,7 +99,7 @@
             lease::onFenced);
     this.jobFeed = new JobFeed(tracked, clock, log, new JobFeedListener());
     this.load = new SchedulerLoad(log);
-    this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, load, jobs);
+    this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, fences, load, jobs);
     this.commandSender =
         new TaskCommandSender(workerClient, clock, log, lease, settings, new TaskCommandListener());
     jobs.setWriterAndSender(progressWriter, commandSender);
@@ -210,6 +212,11 @@
       return;
     }
     workers.pollIfDue(now);
+    fences.writeIfDue(now);
+    // Until then a predecessor may still change the rows of jobs.
+    if (!fences.areWritten()) {
+      return;
+    }
     jobFeed.readIfDue(now);
     if (!jobsRestored) {
       restoreJobsIfLoaded();
@@ -262,6 +269,7 @@
   private void reset() {
     jobsRestored = false;
     jobs.reset();
+    fences.reset();
     earlyRows = ImmutableList.of();
     progressWriter.reset();
     commandSender.reset();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/DisabledMechanism.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/DisabledMechanism.java
@@ -6,6 +6,8 @@
    * Transactions check the holder of the scheduler lease and the versions of the rows they change.
    */
   COMMIT_CHECKS,
+  /** Transactions on a decision partition check its fence. */
+  DECISION_FENCE_CHECKS,
   /** Workers reject commands with a lower fencing token than the highest that they received. */
   FENCING_TOKEN_CHECKS,
   /** Workers end all running attempts when their lease has expired. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
@@ -37,10 +37,14 @@
   private static final long CALL_TIMEOUT_MILLIS = 900;
   private static final long LATE_APPLY_MILLIS = 3_000;
 
+  /** The key of a fence row, within its partition of the control table. */
+  private static final String FENCE_ROW_KEY = "fence";
+
   private record Entry(RowStore.StoredRow row) {}
 
   private final SimClock clock;
   private final Random random;
+  private final GuaranteeChecker guaranteeChecker;
 
   /** The rows by {@link #storageKey}. */
   private final TreeMap<String, Entry> rows = new TreeMap<>();
@@ -59,9 +63,15 @@
   private long lastVersion = 10;
   private long lastDiscardedVersion;
 
+  /** Creates a store for a test that checks no guarantees to callers. */
   public FakeRowStore(SimClock clock, Random random) {
+    this(clock, random, new GuaranteeChecker(clock));
+  }
+
+  FakeRowStore(SimClock clock, Random random, GuaranteeChecker guaranteeChecker) {
     this.clock = clock;
     this.random = random;
+    this.guaranteeChecker = guaranteeChecker;
   }
 
   /** Sets how the store responds to the calls of a node from now on. */
@@ -153,7 +163,44 @@
     }
   }
 
-  private RowStore.Outcome commitAtomically(RowStore.Transaction transaction) {
+  private static String partitionOf(RowStore.Transaction transaction) {
+    return Stream.concat(
+            transaction.puts().stream().map(RowStore.Put::key), transaction.deletes().stream())
+        .map(RowStore.RowKey::partition)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /**
+   * Adds a violation if a node changes a decision partition while the partition's fence names a
+   * process of another node, or replaces a fence by one with a lower epoch.
+   */
+  private void checkFence(String node, RowStore.Transaction transaction) {
+    String partition = partitionOf(transaction);
+    RowStore.StoredRow fence = findRow(new RowStore.RowKey("control", partition, FENCE_ROW_KEY));
+    if (fence == null) {
+      return;
+    }
+    if (!writesControlTable(transaction)) {
+      if (!fence.value().contains(" " + node + "-")) {
+        guaranteeChecker.addViolation(
+            "STALE_DECISION", node + " changes " + partition + " of " + fence.value());
+      }
+    } else if (fenceEpoch(transaction.puts().get(0).value()) < fenceEpoch(fence.value())) {
+      guaranteeChecker.addViolation(
+          "FENCE_LOWERED", node + " replaces the fence " + fence.value() + " of " + partition);
+    }
+  }
+
+  private static long fenceEpoch(String fence) {
+    return Long.parseLong(fence.substring(0, fence.indexOf(' ')));
+  }
+
+  private static boolean writesControlTable(RowStore.Transaction transaction) {
+    return transaction.puts().stream().anyMatch(put -> put.key().table().equals("control"));
+  }
+
+  private RowStore.Outcome commitAtomically(String node, RowStore.Transaction transaction) {
     requireSinglePartition(transaction);
     for (RowStore.Expectation expectation : transaction.expectations()) {
       if (versionOf(expectation.key()) != expectation.version()) {
@@ -167,6 +214,7 @@
         return new RowStore.Outcome.Conflict(current.build());
       }
     }
+    checkFence(node, transaction);
     lastVersion++;
     for (RowStore.Put put : transaction.puts()) {
       storeAndAddToHistory(new RowStore.StoredRow(put.key(), put.value(), lastVersion, false));
@@ -195,8 +243,7 @@
 
     @Override
     public void commit(Transaction requested, Consumer<Outcome> done) {
-      Transaction transaction =
-          disabled.contains(DisabledMechanism.COMMIT_CHECKS) ? withoutChecks(requested) : requested;
+      Transaction transaction = withoutDisabledChecks(requested);
       switch (behavior()) {
         case NORMAL -> {
           if (transactionMillis > 0) {
@@ -205,7 +252,7 @@
             clock.runAfter(
                 COMMIT_LATENCY_MILLIS + random.nextInt(4),
                 () -> {
-                  Outcome outcome = commitAtomically(transaction);
+                  Outcome outcome = commitAtomically(node, transaction);
                   clock.runAfter(1, () -> done.accept(outcome));
                 });
           }
@@ -217,13 +264,13 @@
                 CALL_TIMEOUT_MILLIS,
                 () -> done.accept(new Outcome.Failed(CallFailure.OUTCOME_UNKNOWN)));
         case LOSES_RESPONSES -> {
-          clock.runAfter(COMMIT_LATENCY_MILLIS, () -> commitAtomically(transaction));
+          clock.runAfter(COMMIT_LATENCY_MILLIS, () -> commitAtomically(node, transaction));
           clock.runAfter(
               CALL_TIMEOUT_MILLIS,
               () -> done.accept(new Outcome.Failed(CallFailure.OUTCOME_UNKNOWN)));
         }
         case APPLIES_TRANSACTIONS_LATE -> {
-          clock.runAfter(LATE_APPLY_MILLIS, () -> commitAtomically(transaction));
+          clock.runAfter(LATE_APPLY_MILLIS, () -> commitAtomically(node, transaction));
           clock.runAfter(
               CALL_TIMEOUT_MILLIS,
               () -> done.accept(new Outcome.Failed(CallFailure.OUTCOME_UNKNOWN)));
@@ -243,7 +290,7 @@
       clock.runAfter(
           appliedMillis - now,
           () -> {
-            Outcome outcome = commitAtomically(transaction);
+            Outcome outcome = commitAtomically(node, transaction);
             if (isAnswered) {
               clock.runAfter(1, () -> done.accept(outcome));
             }
@@ -255,25 +302,25 @@
       }
     }
 
-    private static String partitionOf(Transaction transaction) {
-      return Stream.concat(
-              transaction.puts().stream().map(Put::key), transaction.deletes().stream())
-          .map(RowKey::partition)
-          .findFirst()
-          .orElseThrow();
-    }
-
     /**
-     * Returns a transaction without its expectations. One that writes the control table keeps them,
-     * since these rows hold the scheduler lease.
+     * Returns a transaction without the expectations that are disabled. One that writes the control
+     * table keeps all, since these rows hold the scheduler lease and the fences.
      */
-    private static Transaction withoutChecks(Transaction transaction) {
-      boolean writesControlTable =
-          transaction.puts().stream().anyMatch(put -> put.key().table().equals("control"));
-      if (writesControlTable) {
+    private Transaction withoutDisabledChecks(Transaction transaction) {
+      if (writesControlTable(transaction)) {
         return transaction;
       }
-      return new Transaction(ImmutableList.of(), transaction.puts(), transaction.deletes());
+      ImmutableList<Expectation> checked =
+          transaction.expectations().stream()
+              .filter(expectation -> !isDisabled(expectation.key()))
+              .collect(ImmutableList.toImmutableList());
+      return new Transaction(checked, transaction.puts(), transaction.deletes());
+    }
+
+    private boolean isDisabled(RowKey expected) {
+      return disabled.contains(DisabledMechanism.COMMIT_CHECKS)
+          || (disabled.contains(DisabledMechanism.DECISION_FENCE_CHECKS)
+              && expected.key().equals(FENCE_ROW_KEY));
     }
 
     @Override
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -8,6 +8,7 @@
 import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,6 +50,7 @@
   final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final Map<String, String> poolByWorkerId = new HashMap<>();
   private final Map<String, JobSpec> submittedJobs = new LinkedHashMap<>();
+  private final Set<String> jobsOfPreviousVersion = new HashSet<>();
   private long taskTimeFactor = 1;
   final Set<DisabledMechanism> disabledMechanisms = EnumSet.noneOf(DisabledMechanism.class);
 
@@ -67,8 +69,8 @@
   private SimFleet(long seed, SimLayout layout) {
     this.layout = layout;
     random = new Random(seed);
-    rowStore = new FakeRowStore(clock, random);
     guaranteeChecker = new GuaranteeChecker(clock);
+    rowStore = new FakeRowStore(clock, random, guaranteeChecker);
     guaranteeChecker.setTeamLimit(TEAM, TEAM_LIMIT);
     guaranteeChecker.setMaxFailuresPerTask(SimLayout.MAX_FAILURES);
     vmPlatform =
@@ -211,6 +213,13 @@
         .findFirst();
   }
 
+  /** Returns the name of the node that the lease's holder row names; empty if there is none. */
+  public Optional<String> holderNode() {
+    StoredRow row = rowStore.findRow(new RowKey("control", JobRows.MAIN_PARTITION, "holder"));
+    return Optional.ofNullable(row)
+        .map(holder -> Splitter.on(' ').splitToList(holder.value()).get(0));
+  }
+
   /** Stores the submission row of a job, as an entry VM does before it accepts the job. */
   public JobSpec submit(String id, StepSpec... steps) {
     return submit(id, QUEUE, TEAM, steps);
@@ -241,13 +250,28 @@
     return job;
   }
 
+  /** Returns the key of a row of a job, which depends on the version that accepted the job. */
+  public RowKey rowKey(String id, Kind kind) {
+    boolean isInMain =
+        jobsOfPreviousVersion.contains(id) && kind != Kind.SUBMISSION && kind != Kind.ENDED;
+    return isInMain ? JobRows.decisionKey(JobRows.MAIN_PARTITION, id, kind) : JobRows.key(id, kind);
+  }
+
+  /**
+   * As {@link #submit(String, StepSpec...)}, by an entry VM of a previous version, which stored the
+   * decision rows of jobs in the main partition.
+   */
+  public JobSpec submitToPreviousVersion(String id, StepSpec... steps) {
+    jobsOfPreviousVersion.add(id);
+    return submit(id, steps);
+  }
+
   /** Stores the cancellation row of a job if the job has no final state yet. */
   public void cancel(String id) {
     boolean hasEnded =
-        rowStore.hasRow(JobRows.key(id, Kind.FINAL))
-            || rowStore.hasRow(JobRows.key(id, Kind.ENDED));
+        rowStore.hasRow(rowKey(id, Kind.FINAL)) || rowStore.hasRow(rowKey(id, Kind.ENDED));
     if (!hasEnded) {
-      RowKey key = JobRows.key(id, Kind.CANCELLATION);
+      RowKey key = rowKey(id, Kind.CANCELLATION);
       rowStore.putRow(key.table(), key.partition(), key.key(), "{}");
       guaranteeChecker.onCancelAcknowledged(id);
     }
@@ -260,7 +284,7 @@
   public Optional<JobState> checkedState(String id) {
     ImmutableList.Builder<StoredRow> jobRows = ImmutableList.builder();
     for (Kind kind : Kind.values()) {
-      StoredRow row = rowStore.findRow(JobRows.key(id, kind));
+      StoredRow row = rowStore.findRow(rowKey(id, kind));
       if (row != null) {
         jobRows.add(row);
       }
@@ -347,6 +371,11 @@
             : Either.right(job);
       }
 
+      @Override
+      public boolean hasDecisionPartition(String rowValue) {
+        return !jobsOfPreviousVersion.contains(rowValue);
+      }
+
       @Override
       public Put encodeWaveStatus(long wave, boolean completed) {
         return new Put(new RowKey("status", "", "wave/" + wave), Boolean.toString(completed));
