--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
@@ -46,6 +46,7 @@
               /* finalStateRetentionMillis= */ 1,
               /* maintenanceMillis= */ 2_000,
               /* moveMillis= */ 1_500,
+              /* vmCommandsPerSecond= */ 64,
               /* unavailabilityThresholdMillis= */ 4_500,
               /* maxBackfillImpactMillis= */ 4_000);
       lease = new SchedulerLease(store, this, EventLog.silent(), settings, this, this);
