--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -30,6 +30,7 @@
   private final Predicate<Worker> isSurplus;
   private final EventLog log;
   private Backlog backlog = new Backlog();
+  private UnplaceableNeeds unplaceableNeeds = new UnplaceableNeeds();
 
   Placement(
       PublishedConfig config,
@@ -59,10 +60,11 @@
 
   /**
    * Assigns tasks that can start to workers, and returns the jobs of the assigned tasks. Late and
-   * excess jobs get no workers that {@link SurplusWorkers} has chosen.
+   * excess jobs get no workers that {@link SurplusWorkers} has chosen for another pool.
    */
   Set<Job> placeWaitingTasks(Collection<Job> jobs, long nowMillis, long wallMillis) {
     backlog = new Backlog();
+    unplaceableNeeds = new UnplaceableNeeds();
     List<Candidate> candidates = new ArrayList<>();
     for (Job job : jobs) {
       if (job.state.isFinal() || job.cancelRequested) {
@@ -160,15 +162,24 @@
     if (tickets.isEmpty()) {
       return false;
     }
-    List<Worker> eligible = workersWithTickets(available, tickets.get(), candidate.queue());
+    // The tasks of a step need the same, so workers without room for the first are left out.
+    List<Worker> fitting =
+        unplaceableNeeds.contains(tasks.get(0), available)
+            ? List.of()
+            : workersWithTickets(available, tickets.get(), candidate.queue()).stream()
+                .filter(worker -> WorkerChoice.fits(tasks.get(0), worker))
+                .toList();
     Resources teamLimit = config.upperLimitOf(candidate.job().spec.team());
     boolean isAnyPlaced = false;
     for (Task task : tasks) {
       if (!candidate.job().teamUsage.admits(task.teamResources(), teamLimit)) {
         break;
       }
-      Optional<Worker> worker = WorkerChoice.chooseWorker(task, eligible);
+      Optional<Worker> worker = WorkerChoice.chooseWorker(task, fitting);
       if (worker.isEmpty()) {
+        if (candidate.queue().advice().isEmpty()) {
+          unplaceableNeeds.add(task, available);
+        }
         addToBacklog(candidate, tasks.subList(tasks.indexOf(task), tasks.size()));
         break;
       }
@@ -212,13 +223,15 @@
     return isPlaced;
   }
 
-  /**
-   * Adds tasks to the backlog of their pool, for which {@link PoolAutoscaler} may add VMs to the
-   * pool. Tasks of late and excess jobs are left out, since they do not justify more VMs.
-   */
+  /** Adds tasks to the backlog of their pool, for which {@link PoolAutoscaler} may add VMs. */
   private void addToBacklog(Candidate candidate, List<Task> tasks) {
+    String pool = candidate.queue().pool();
     if (candidate.rank().justifiesMoreWorkers()) {
-      tasks.forEach(task -> backlog.add(candidate.queue().pool(), task));
+      tasks.forEach(task -> backlog.add(pool, task));
+    } else {
+      double expectedMillis =
+          durationModel.expectedMillis(candidate.queue().name(), tasks.get(0).step);
+      tasks.forEach(task -> backlog.addLate(pool, task, expectedMillis));
     }
   }
 
