--- a/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
@@ -297,6 +297,11 @@
       return Either.right(submittedJobs.get(rowValue));
     }
 
+    @Override
+    public boolean hasDecisionPartition(String rowValue) {
+      return true;
+    }
+
     @Override
     public Put encodeWaveStatus(long wave, boolean completed) {
       return new Put(new RowKey("status", "", "wave/" + wave), Boolean.toString(completed));
