--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -38,8 +38,8 @@
   boolean isExcess;
 
   /**
-   * Whether a pool may get or keep VMs for this job: it is long-running, or could still meet its
-   * objective when it was last ranked.
+   * Whether its need for workers goes before that of late and excess jobs: it is long-running, or
+   * could still meet its objective when it was last ranked.
    */
   boolean justifiesMoreWorkers = true;
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -3,11 +3,9 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -67,11 +65,7 @@
   private final VmMover vmMover;
   private final Predicate<String> isDueForMaintenance;
 
-  /**
-   * The empty workers, that is, those that are safe to remove. Each is mapped to the time at which
-   * it was first seen empty, monotonic ms.
-   */
-  private final Map<Worker, Long> emptySinceMillis = new HashMap<>();
+  private final EmptyWorkers emptyWorkers = new EmptyWorkers();
 
   private ImmutableSet<Worker> surplusWorkers = ImmutableSet.of();
 
@@ -107,7 +101,7 @@
   /** Discards all state, because this process has just acquired the scheduling lease. */
   void reset() {
     vmMover.reset();
-    emptySinceMillis.clear();
+    emptyWorkers.reset();
     surplusWorkers = ImmutableSet.of();
     shortPools = ImmutableSet.of();
   }
@@ -120,7 +114,7 @@
     }
     nextAdjustmentMillis = nowMillis + ADJUSTMENT_INTERVAL_MILLIS;
     List<Worker> allWorkers = workers.all();
-    updateEmptySinceMillis(allWorkers, nowMillis);
+    emptyWorkers.update(allWorkers, nowMillis);
     vmMover.removeFinishedMoves(nowMillis);
     usageByPool.clear();
     usageByPool.putAll(PoolUsage.byPool(allWorkers));
@@ -158,7 +152,7 @@
                 .toList();
         Resources needed = neededInTime(pool.name(), backlog, nowMillis);
         SurplusWorkers.of(poolWorkers, needed, MIN_WORKERS).stream()
-            .filter(worker -> emptyMillis(worker, nowMillis) < MAX_SURPLUS_IDLE_MILLIS)
+            .filter(worker -> emptyWorkers.emptyMillis(worker, nowMillis) < MAX_SURPLUS_IDLE_MILLIS)
             .forEach(newSurplus::add);
       }
     }
@@ -174,22 +168,6 @@
     return usageByPool.getOrDefault(pool, PoolUsage.EMPTY);
   }
 
-  private long emptyMillis(Worker worker, long nowMillis) {
-    return nowMillis - emptySinceMillis.getOrDefault(worker, nowMillis);
-  }
-
-  private void updateEmptySinceMillis(List<Worker> allWorkers, long nowMillis) {
-    Set<Worker> present = new HashSet<>(allWorkers);
-    emptySinceMillis.keySet().retainAll(present);
-    for (Worker worker : present) {
-      if (worker.isSafeToRemove()) {
-        emptySinceMillis.putIfAbsent(worker, nowMillis);
-      } else {
-        emptySinceMillis.remove(worker);
-      }
-    }
-  }
-
   /**
    * Starts moves to the pools that are short of VMs: first for jobs in time, then, if no pool is
    * short of VMs for those, for late and excess jobs.
@@ -225,7 +203,7 @@
             backlog.workersForLongRunning(pool),
             Math.max(
                 PoolDemand.missingForBacklog(poolBacklog, usage.capacity(), vmCapacity),
-                PoolDemand.missingForArrivals(neededForArrivals, usage.capacity(), vmCapacity)));
+                PoolDemand.missingForSteadyNeed(neededForArrivals, usage.capacity(), vmCapacity)));
     String reason =
         "backlog of "
             + poolBacklog.tasks()
@@ -243,7 +221,7 @@
     PoolUsage usage = usageOf(pool);
     Resources needed = poolDemand.neededToCatchUp(pool, usage, backlog, nowMillis);
     int missing =
-        PoolDemand.missingForArrivals(needed, usage.uncordonedCapacity(), vmCapacityOf(usage));
+        PoolDemand.missingForSteadyNeed(needed, usage.uncordonedCapacity(), vmCapacityOf(usage));
     moveVmsTo(pool, missing, "late backlog of " + lateTasks + " tasks", backlog, nowMillis);
   }
 
@@ -280,7 +258,7 @@
             worker ->
                 usageByPool.computeIfPresent(
                     worker.entry.pool(),
-                    (name, usage) -> usage.withoutVm(worker.entry.capacity())));
+                    (name, usage) -> usage.afterCordoningVm(worker.entry.capacity())));
     vmMover.move(vm, pool, reason, nowMillis);
   }
 
@@ -306,14 +284,13 @@
 
   /** Finds an empty VM that another pool does not need, or else one in the standby pool. */
   private Optional<String> findMovableVm(String pool, Backlog backlog, long nowMillis) {
-    for (Map.Entry<Worker, Long> entry : emptySinceMillis.entrySet()) {
-      Worker worker = entry.getKey();
+    for (Worker worker : emptyWorkers.all()) {
       String currentPool = worker.entry.pool();
       long requiredIdleMillis =
           surplusWorkers.contains(worker)
               ? SURPLUS_IDLE_BEFORE_MOVE_MILLIS
               : IDLE_BEFORE_MOVE_MILLIS;
-      boolean isIdle = nowMillis - entry.getValue() >= requiredIdleMillis;
+      boolean isIdle = emptyWorkers.emptyMillis(worker, nowMillis) >= requiredIdleMillis;
       boolean isMovableNow =
           !currentPool.equals(pool)
               && backlog.forPool(currentPool).tasks() == 0
@@ -358,7 +335,7 @@
       return "cordoned";
     } else if (!worker.isSafeToRemove()) {
       return worker.tasks().stream().allMatch(task -> task.step.longRunning()) ? "lasting" : "busy";
-    } else if (emptyMillis(worker, nowMillis) < IDLE_BEFORE_MOVE_MILLIS) {
+    } else if (emptyWorkers.emptyMillis(worker, nowMillis) < IDLE_BEFORE_MOVE_MILLIS) {
       return "just_idle";
     } else if (backlog.forPool(currentPool).tasks() > 0) {
       return "own_backlog";
@@ -384,11 +361,10 @@
 
   private void powerOffIdleVms(
       String standbyPool, FleetSettings settings, Backlog backlog, long nowMillis) {
-    for (Map.Entry<Worker, Long> entry : List.copyOf(emptySinceMillis.entrySet())) {
-      Worker worker = entry.getKey();
+    for (Worker worker : emptyWorkers.all()) {
       String currentPool = worker.entry.pool();
       PoolConfig poolConfig = settings.pools().get(currentPool);
-      boolean isIdle = nowMillis - entry.getValue() >= IDLE_BEFORE_POWER_OFF_MILLIS;
+      boolean isIdle = emptyWorkers.emptyMillis(worker, nowMillis) >= IDLE_BEFORE_POWER_OFF_MILLIS;
       boolean isUnneeded =
           poolConfig != null
               && !poolConfig.standby()
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
@@ -11,8 +11,8 @@
   private static final double BURST_HEADROOM_FACTOR = 1.2;
 
   /**
-   * Time within which the waiting tasks of late and excess jobs should all be done, in ms: the time
-   * within which urgent work must start at the size for which the system is designed.
+   * Time within which the waiting tasks of late and excess jobs should all be done, in ms. It is
+   * the longest time in which work may start.
    */
   private static final double LATE_WORK_MILLIS = 5_300;
 
@@ -34,7 +34,7 @@
    * Returns how many more VMs of capacity {@code vmCapacity} a pool needs to provide {@code needed}
    * at all times.
    */
-  static int missingForArrivals(Resources needed, Resources capacity, Resources vmCapacity) {
+  static int missingForSteadyNeed(Resources needed, Resources capacity, Resources vmCapacity) {
     return missingVms(needed, 1, capacity, vmCapacity);
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolUsage.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolUsage.java
@@ -78,7 +78,7 @@
   }
 
   /** Returns the usage after one uncordoned VM without tasks was cordoned. */
-  PoolUsage withoutVm(Resources removedCapacity) {
+  PoolUsage afterCordoningVm(Resources removedCapacity) {
     return new PoolUsage(
         workers,
         capacity,
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SurplusWorkers.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SurplusWorkers.java
@@ -9,10 +9,10 @@
 
 /**
  * Decides which workers of a pool get no tasks of late jobs and excess jobs, so that they become
- * empty and their VMs can be moved to another pool or powered off.
+ * empty and their VMs can be moved to another pool.
  *
- * <p>Such jobs would otherwise fill all free capacity and keep VMs busy that the pool no longer
- * needs. The other workers of the pool still run them as capacity becomes free.
+ * <p>Such jobs would otherwise fill all free capacity and keep VMs busy that another pool needs for
+ * jobs in time. The other workers of the pool still run them as capacity becomes free.
  */
 final class SurplusWorkers {
   private SurplusWorkers() {}
@@ -50,7 +50,7 @@
     return surplus.build();
   }
 
-  /** Returns whether a pool may keep a VM for a task: it is long-running or can be in time. */
+  /** Returns whether a task is long-running or can be in time, so that it keeps its worker. */
   static boolean justifiesVm(Task task) {
     return task.step.longRunning() || task.job.justifiesMoreWorkers;
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolDemandTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolDemandTest.java
@@ -52,7 +52,7 @@
     Resources capacity = new Resources(16_000L * workerCount, 64_000L * workerCount, 0);
     assertEquals(
         expectedVms,
-        PoolDemand.missingForArrivals(
+        PoolDemand.missingForSteadyNeed(
             new Resources(cpuMillis, memoryMb, 0), capacity, VM_CAPACITY));
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolUsageTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolUsageTest.java
@@ -55,7 +55,7 @@
   void movedVmIsNoLongerUsableCapacity() {
     PoolUsage usage =
         PoolUsage.byPool(List.of(TestWorkers.withId("w1"), TestWorkers.withId("w2"))).get(POOL);
-    PoolUsage remaining = usage.withoutVm(TestWorkers.CAPACITY);
+    PoolUsage remaining = usage.afterCordoningVm(TestWorkers.CAPACITY);
     assertEquals(1, remaining.uncordonedWorkers());
     assertEquals(TestWorkers.CAPACITY, remaining.uncordonedCapacity());
   }
