Leave a free scheduling lease to larger VMs for a moment

Nothing else changes; a fleet of small VMs waits a little longer.

The effect on a takeover is not shown by a test of its own.

--- a/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
@@ -8,6 +8,8 @@
  *
  * @param node the name of the VM on which the process runs
  * @param zone the availability zone of the VM
+ * @param processors the share of the VM's processors that the process may use, in cores of usual
+ *     speed
  * @param callerAddress the address at which the process serves callers
  * @param readinessAddress the address at which the load balancer asks whether it may open new
  *     connections to this process
@@ -36,6 +38,7 @@
 public record NodeSettings(
     String node,
     String zone,
+    double processors,
     InetSocketAddress callerAddress,
     InetSocketAddress readinessAddress,
     InetSocketAddress peerAddress,
--- a/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
@@ -107,6 +107,7 @@
                 /* node= */ "entry-1",
                 /* process= */ "process-1",
                 /* peerAddress= */ "entry-1:1",
+                /* takeoverDelayMillis= */ 0,
                 /* leaseMillis= */ 5_400,
                 /* maxLeaseMillis= */ 5_400,
                 /* maxStopMillis= */ 400,
--- a/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
@@ -66,6 +66,7 @@
     return new NodeSettings(
         "class-loading",
         "zone",
+        /* processors= */ 1,
         /* callerAddress= */ anyPort,
         /* readinessAddress= */ anyPort,
         /* peerAddress= */ anyPort,
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -93,6 +93,9 @@
   /** When this process first read the current version of the renewal row, monotonic ms. */
   private long renewalChangedMillis;
 
+  /** Since when the lease has been free according to this process, monotonic ms; 0 if it is not. */
+  private long freeSinceMillis;
+
   private long lastReadMillis;
   private long renewalCount;
   private boolean watchingHolder;
@@ -160,7 +163,8 @@
     if (stopping || nowMillis < nextCallMillis) {
       return;
     }
-    if (!holding && holderReportedGone && !takeoverPending && readVersion >= 0) {
+    boolean isDelayOver = isTakeoverDelayOver(nowMillis);
+    if (isDelayOver && holderReportedGone && !takeoverPending && readVersion >= 0) {
       // Does not wait for a long poll that may be pending.
       takeOver(nowMillis);
     } else if (callPending || takeoverPending) {
@@ -177,7 +181,7 @@
               applyFullRead(response);
             }
           });
-    } else if (mayTakeOver(nowMillis)) {
+    } else if (isDelayOver && mayTakeOver(nowMillis)) {
       takeOver(nowMillis);
     } else {
       callPending = true;
@@ -206,6 +210,18 @@
     return isRecent && (holderVersion == RowStore.ABSENT || released || isOwnNode || isExpired);
   }
 
+  /** Returns whether the lease has been free for as long as this process leaves it to others. */
+  private boolean isTakeoverDelayOver(long nowMillis) {
+    if (holding || !(holderReportedGone || mayTakeOver(nowMillis))) {
+      freeSinceMillis = 0;
+      return false;
+    }
+    if (freeSinceMillis == 0) {
+      freeSinceMillis = nowMillis;
+    }
+    return nowMillis - freeSinceMillis >= settings.takeoverDelayMillis();
+  }
+
   private void takeOver(long nowMillis) {
     LeaseHolder newHolder =
         new LeaseHolder(
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
@@ -8,6 +8,7 @@
  * @param node the name of the entry VM on which this process runs
  * @param process a name that no other process has or had
  * @param peerAddress the address to which other entry VMs connect to notice the end of this process
+ * @param takeoverDelayMillis how long this process leaves a free scheduling lease to others
  * @param leaseMillis the lease granted to a worker: how long it may run tasks without a renewal
  * @param maxLeaseMillis the longest lease that any scheduler may have granted to a worker
  * @param maxStopMillis how long a worker takes at most to stop a task
@@ -26,6 +27,7 @@
     String node,
     String process,
     String peerAddress,
+    long takeoverDelayMillis,
     long leaseMillis,
     long maxLeaseMillis,
     long maxStopMillis,
@@ -43,6 +45,15 @@
    */
   private static final long MAX_WORKER_LEASE_MILLIS = 6_000;
 
+  /**
+   * The processors from which a VM takes a free lease at once. The scheduler uses about 1 ms of
+   * processor time a task, network I/O included.
+   */
+  private static final double SCHEDULER_PROCESSORS = 0.75;
+
+  /** Delay of a takeover for each time that a VM's processors fit into the above, in ms. */
+  private static final double TAKEOVER_DELAY_MILLIS = 250;
+
   /** Fraction of the platform's longest lease that is used, to allow for clock differences. */
   private static final double USED_FRACTION_OF_MAX_LEASE = 0.9;
 
@@ -55,6 +66,7 @@
         node.node(),
         process,
         node.peerAddress().getHostString() + ":" + node.peerAddress().getPort(),
+        takeoverDelayMillis(node.processors()),
         leaseMillis,
         leaseMillis,
         node.maxStopMillis(),
@@ -66,4 +78,12 @@
         node.unavailabilityThresholdMillis(),
         node.maxBackfillImpactMillis());
   }
+
+  /**
+   * Returns how long a VM with this share of processors leaves a free lease to others. Any VM may
+   * schedule, but a small one falls behind in a large fleet, so larger ones come first.
+   */
+  static long takeoverDelayMillis(double processors) {
+    return (long) (Math.max(0, SCHEDULER_PROCESSORS / processors - 1) * TAKEOVER_DELAY_MILLIS);
+  }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
@@ -39,6 +39,7 @@
               /* node= */ name,
               /* process= */ name + "-1",
               /* peerAddress= */ name,
+              /* takeoverDelayMillis= */ 0,
               /* leaseMillis= */ 5_400,
               /* maxLeaseMillis= */ 5_400,
               /* maxStopMillis= */ 400,
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -57,6 +57,7 @@
               /* node= */ name,
               /* process= */ name,
               /* peerAddress= */ name,
+              /* takeoverDelayMillis= */ 0,
               /* leaseMillis= */ 5_400,
               /* maxLeaseMillis= */ 5_400,
               /* maxStopMillis= */ 400,
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -90,6 +90,7 @@
                 /* node= */ name,
                 /* process= */ name + "-" + fleet.clock.nowMillis(),
                 /* peerAddress= */ name + "@" + fleet.clock.nowMillis(),
+                /* takeoverDelayMillis= */ 0,
                 /* leaseMillis= */ 5_400,
                 /* maxLeaseMillis= */ 5_400,
                 /* maxStopMillis= */ 400,
