Apply submissions before cancellations after a full read of the jobs

Cause, inferred: the store had been unreachable and had discarded its history, so the scheduler read all rows again. Partitions are read in any order; JobRegistry ignored a cancellation whose job it did not know yet, and then added the job from its submission. The final state would have conflicted with the cancellation, but tasks were started before. Class: an order that only a feed guarantees.

Change: the rows of one read are applied with all submissions first. The restore after a takeover already looks at all rows of a job together.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRows.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRows.java
@@ -1,6 +1,7 @@
 package org.sassafraslink.scheduler;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.sassafraslink.api.fleet.JobState;
@@ -158,6 +159,18 @@
     return Optional.empty();
   }
 
+  /**
+   * Returns rows with all submissions before the other rows, otherwise in the same order. A full
+   * read returns the partitions in any order, so that the cancellation of a job may come before the
+   * submission that creates it.
+   */
+  static ImmutableList<StoredRow> submissionsFirst(ImmutableList<StoredRow> rows) {
+    return rows.stream()
+        .sorted(
+            Comparator.comparing(row -> !kindOf(row.key()).equals(Optional.of(Kind.SUBMISSION))))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Returns the row of the given kind among the rows of one job. */
   public static Optional<StoredRow> findRow(ImmutableList<StoredRow> rows, Kind kind) {
     return rows.stream()
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -323,7 +323,7 @@
         earlyRows = ImmutableList.<StoredRow>builder().addAll(earlyRows).addAll(rows).build();
         return;
       }
-      for (StoredRow row : rows) {
+      for (StoredRow row : JobRows.submissionsFirst(rows)) {
         if (!row.deleted()) {
           jobs.applyRow(row);
         }
