--- a/cli/src/main/java/org/sassafraslink/cli/Flags.java
+++ b/cli/src/main/java/org/sassafraslink/cli/Flags.java
@@ -1,8 +1,11 @@
 package org.sassafraslink.cli;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import io.vavr.control.Either;
 import java.util.Locale;
 import joptsimple.OptionSet;
+import okhttp3.HttpUrl;
 
 /**
  * The flags of the command line, with environment variables as a fallback.
@@ -52,6 +55,24 @@
     }
   }
 
+  private static final ImmutableSet<String> OUTPUT_FORMATS = ImmutableSet.of("text", "json");
+
+  /** Returns these flags, or a usage error if a value is invalid for every command. */
+  Either<CommandFailure, Flags> check() {
+    if (!OUTPUT_FORMATS.contains(text(Flag.OUTPUT))) {
+      return invalid(Flag.OUTPUT, "must be text or json");
+    }
+    if (HttpUrl.parse(text(Flag.ADMIN)) == null) {
+      return invalid(Flag.ADMIN, "must be a URL that begins with http:// or https://");
+    }
+    return Either.right(this);
+  }
+
+  private Either<CommandFailure, Flags> invalid(Flag flag, String rule) {
+    String message = "--" + flag.flagName() + " = '" + text(flag) + "': " + rule + ".";
+    return Either.left(CommandFailure.of(ExitCode.USAGE, message));
+  }
+
   /** Returns the value of a flag, else of its environment variable, else its default. */
   String text(Flag flag) {
     return options.has(flag.flagName())
--- a/cli/src/main/java/org/sassafraslink/cli/Main.java
+++ b/cli/src/main/java/org/sassafraslink/cli/Main.java
@@ -9,6 +9,7 @@
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
+import org.sassafraslink.cli.Flags.Flag;
 
 /** The entry point of the command-line tool {@code sassafraslink}. */
 public final class Main {
@@ -69,20 +70,24 @@
       parser.printHelpOn(out);
       return options.has("help") ? ExitCode.OK.code() : ExitCode.USAGE.code();
     }
-    Printer printer = new Printer("json".equals(options.valueOf("output")), out, err);
     Flags flags = new Flags(options, ImmutableMap.copyOf(environment));
+    Printer printer = new Printer(flags.text(Flag.OUTPUT).equals("json"), out, err);
     Either<CommandFailure, ExitCode> result =
-        Commands.create(printer, flags)
-            .runCommand(
-                positionalArguments.get(0),
-                positionalArguments.subList(1, positionalArguments.size()));
+        flags
+            .check()
+            .flatMap(
+                checked ->
+                    Commands.create(printer, checked)
+                        .runCommand(
+                            positionalArguments.get(0),
+                            positionalArguments.subList(1, positionalArguments.size())));
     result.peekLeft(printer::printFailure);
     return result.fold(CommandFailure::exitCode, code -> code).code();
   }
 
   private static OptionParser createParser() {
     OptionParser parser = new OptionParser();
-    for (Flags.Flag flag : Flags.Flag.values()) {
+    for (Flag flag : Flag.values()) {
       parser.accepts(flag.flagName(), flag.description()).withRequiredArg();
     }
     parser.accepts("no-wait", "publish: does not wait until all daemons know the version");
--- a/cli/src/main/java/org/sassafraslink/cli/TeamKeyFiles.java
+++ b/cli/src/main/java/org/sassafraslink/cli/TeamKeyFiles.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
 import org.sassafraslink.api.Digests;
 
 /**
@@ -19,6 +21,12 @@
 final class TeamKeyFiles {
   private static final int SECRET_BYTES = 32;
 
+  /** A line that begins a block list of keys, or holds an empty list or an empty value. */
+  private static final Pattern KEYS_LINE =
+      Pattern.compile("keys:\\s*(\\[\\s*\\]|null|~)?\\s*(#.*)?");
+
+  private static final String DEFAULT_ENTRY_INDENT = "  ";
+
   /**
    * A generated key.
    *
@@ -38,23 +46,58 @@
     return new NewKey(id, key, Digests.of(key));
   }
 
-  /** Adds an entry with the id and digest of {@code key} to a team's file. */
+  /**
+   * Adds an entry with the id and digest of {@code key} to a team's file. Fails, without an edit,
+   * if the file has its keys on one line, as in {@code keys: [{id: a}]}.
+   */
   static Either<CommandFailure, Path> addKey(Path file, NewKey key) {
     return editLines(
         file,
         lines -> {
-          int keysLine = indexOfLine(lines, "keys:");
-          List<String> entry = List.of("  - id: " + key.id(), "    digest: " + key.digest());
+          int keysLine = indexOfKeysField(lines);
           if (keysLine < 0) {
             lines.add("keys:");
-            lines.addAll(entry);
-          } else {
-            lines.addAll(keysLine + 1, entry);
+            lines.addAll(entryOf(key, DEFAULT_ENTRY_INDENT));
+            return Optional.empty();
+          }
+          String line = lines.get(keysLine);
+          if (!KEYS_LINE.matcher(line).matches()) {
+            return Optional.of("has its keys on one line; write each in lines of its own.");
           }
-          return true;
+          int commentStart = line.indexOf('#');
+          lines.set(keysLine, commentStart < 0 ? "keys:" : "keys: " + line.substring(commentStart));
+          lines.addAll(keysLine + 1, entryOf(key, entryIndent(lines, keysLine)));
+          return Optional.empty();
         });
   }
 
+  private static List<String> entryOf(NewKey key, String indent) {
+    return List.of(indent + "- id: " + key.id(), indent + "  digest: " + key.digest());
+  }
+
+  /**
+   * Returns the indentation of the first entry after {@code keys:}, since all must have the same.
+   */
+  private static String entryIndent(List<String> lines, int keysLine) {
+    return lines.stream()
+        .skip(keysLine + 1L)
+        .filter(line -> !line.isBlank() && !line.trim().startsWith("#"))
+        .findFirst()
+        .filter(line -> line.trim().startsWith("- "))
+        .map(line -> line.substring(0, line.indexOf('-')))
+        .orElse(DEFAULT_ENTRY_INDENT);
+  }
+
+  /** Returns the index of the line with the top-level field {@code keys}, or -1. */
+  private static int indexOfKeysField(List<String> lines) {
+    for (int i = 0; i < lines.size(); i++) {
+      if (lines.get(i).startsWith("keys:")) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
   /**
    * Removes the entry of the key with the public id {@code id} from a team's file.
    *
@@ -67,30 +110,30 @@
         lines -> {
           int entryLine = indexOfLine(lines, "- id: " + id);
           if (entryLine < 0) {
-            return false;
+            return Optional.of("contains no key with this id.");
           }
           lines.remove(entryLine);
           if (entryLine < lines.size() && lines.get(entryLine).trim().startsWith("digest:")) {
             lines.remove(entryLine);
           }
           removeKeysFieldIfEmpty(lines);
-          return true;
+          return Optional.empty();
         });
   }
 
   /** An edit of the lines of a file. */
   @FunctionalInterface
   private interface LineEdit {
-    /** Edits {@code lines}; returns false, without an edit, if they lack the key to remove. */
-    boolean apply(List<String> lines);
+    /** Edits {@code lines}, or returns why they can't be edited. */
+    Optional<String> apply(List<String> lines);
   }
 
   private static Either<CommandFailure, Path> editLines(Path file, LineEdit edit) {
     try {
       List<String> lines = new ArrayList<>(Files.readAllLines(file));
-      if (!edit.apply(lines)) {
-        return Either.left(
-            CommandFailure.of(ExitCode.USAGE, file + " contains no key with this id."));
+      Optional<String> obstacle = edit.apply(lines);
+      if (obstacle.isPresent()) {
+        return Either.left(CommandFailure.of(ExitCode.USAGE, file + " " + obstacle.get()));
       }
       Files.write(file, lines);
       return Either.right(file);
