Odd entries, failed rows and lapsed permissions harm only themselves

Rows are guarded one by one. - A StackOverflowError, LinkageError or AssertionError ended the scheduler's thread. - A command to a VM was checked against the lease when it was queued; waiting for a connection, or a suspension, could send it seconds later, and the platform does not check tokens.

--- a/api/src/main/java/org/sassafraslink/api/fleet/VmClient.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/VmClient.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Client that lists, moves and maintains the platform's VMs. Calls do not block. */
@@ -34,8 +35,10 @@
    *
    * @param holder the process that holds the scheduling lease
    * @param fencingToken the epoch of that lease
+   * @param isValid whether the lease is still held; called on any thread, right before the order is
+   *     sent, since the platform may not check fencing tokens
    */
-  record Authority(String holder, long fencingToken) {}
+  record Authority(String holder, long fencingToken, BooleanSupplier isValid) {}
 
   /** Lists all VMs. */
   void list(Consumer<Either<CallFailure, ImmutableList<Vm>>> callback);
--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
@@ -154,14 +154,9 @@
     readUpToVersion = result.get().version();
     boolean wavesChanged = false;
     for (StoredRow row : result.get().rows()) {
-      if (row.deleted()) {
-        // The configuration and the waves that were read last stay in use.
-        continue;
-      }
-      if (OperatorRows.isConfig(row)) {
-        applyConfig(row);
-      } else if (OperatorRows.isWave(row)) {
-        wavesChanged |= recordWave(row);
+      // The configuration and the waves that were read last stay in use after a deletion.
+      if (!row.deleted()) {
+        wavesChanged |= applyRow(row);
       }
     }
     if (wavesChanged) {
@@ -170,6 +165,22 @@
     readNext();
   }
 
+  /**
+   * Applies a row and returns whether it contains a wave. A row that fails unexpectedly is skipped,
+   * since it must not end the reading of later changes.
+   */
+  private boolean applyRow(StoredRow row) {
+    try {
+      if (OperatorRows.isConfig(row)) {
+        applyConfig(row);
+      }
+      return OperatorRows.isWave(row) && recordWave(row);
+    } catch (RuntimeException e) {
+      log.log("config.row_failure", "row", row.key().key(), "error", e);
+      return false;
+    }
+  }
+
   private void applyConfig(StoredRow row) {
     Optional<FleetSettings> decodedConfig = OperatorRows.decodeConfig(row);
     if (decodedConfig.isEmpty()) {
--- a/entry/src/main/java/org/sassafraslink/entry/process/SchedulerThread.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/SchedulerThread.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.Scheduler;
 import org.sassafraslink.scheduler.SchedulerLoad;
@@ -44,7 +45,18 @@
   }
 
   void start(Scheduler scheduler) {
-    Thread thread = new Thread(() -> runLoop(scheduler), "scheduler");
+    start(scheduler.load(), scheduler::isScheduling, scheduler::runDueWork);
+  }
+
+  /**
+   * Starts the thread.
+   *
+   * @param load receives the measurements of the thread
+   * @param isScheduling returns whether this process schedules
+   * @param dueWork runs all work that is due
+   */
+  void start(SchedulerLoad load, BooleanSupplier isScheduling, Runnable dueWork) {
+    Thread thread = new Thread(() -> runLoop(load, isScheduling, dueWork), "scheduler");
     thread.setDaemon(true);
     thread.start();
   }
@@ -63,13 +75,12 @@
     }
   }
 
-  private void runLoop(Scheduler scheduler) {
-    SchedulerLoad load = scheduler.load();
+  private void runLoop(SchedulerLoad load, BooleanSupplier isScheduling, Runnable dueWork) {
     List<QueuedEvent> batch = new ArrayList<>();
     while (!stopping) {
       try {
         long maxWaitMillis =
-            scheduler.isScheduling() ? MAX_HOLDER_WAIT_MILLIS : MAX_STANDBY_WAIT_MILLIS;
+            isScheduling.getAsBoolean() ? MAX_HOLDER_WAIT_MILLIS : MAX_STANDBY_WAIT_MILLIS;
         QueuedEvent firstEvent = eventQueue.poll(maxWaitMillis, TimeUnit.MILLISECONDS);
         long startNanos = System.nanoTime();
         if (firstEvent != null) {
@@ -80,23 +91,18 @@
         batch.forEach(queued -> runEvent(queued.event()));
         batch.clear();
         long passStartNanos = System.nanoTime();
-        scheduler.runDueWork();
+        dueWork.run();
         long endNanos = System.nanoTime();
         load.recordPass(passStartNanos - startNanos, endNanos - passStartNanos);
         load.endIntervalIfDue(
             TimeUnit.NANOSECONDS.toMillis(endNanos),
             this::processorNanos,
-            scheduler.isScheduling());
+            isScheduling.getAsBoolean());
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
-      } catch (RuntimeException e) {
-        log.log(
-            "scheduler.failure",
-            "error",
-            e,
-            "at",
-            e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0]);
+      } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
+        logFailure(e);
       }
     }
   }
@@ -109,14 +115,14 @@
   private void runEvent(Runnable event) {
     try {
       event.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
       // A failed event must not prevent the following events from being handled.
-      log.log(
-          "scheduler.failure",
-          "error",
-          e,
-          "at",
-          e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0]);
+      logFailure(e);
     }
   }
+
+  private void logFailure(Throwable failure) {
+    StackTraceElement[] trace = failure.getStackTrace();
+    log.log("scheduler.failure", "error", failure, "at", trace.length == 0 ? "" : trace[0]);
+  }
 }
--- a/entry/src/test/java/org/sassafraslink/entry/process/ConfigWatcherTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/process/ConfigWatcherTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.ResponseTrackingRowStore;
@@ -25,6 +26,9 @@
  * outdated configuration could be applied, or callers could be rejected because of it.
  */
 class ConfigWatcherTest {
+  /** The listener fails when it receives this version. */
+  private static final long FAILING_VERSION = 6;
+
   private long nowMillis = 10_000;
 
   /** Callbacks of the reads that the store has not answered yet. */
@@ -82,11 +86,18 @@
             new TestClock(),
             EventLog.silent(),
             (task, millis) -> scheduledRetry = task,
-            settings -> reportedVersions.add(settings.version()),
+            this::receive,
             waves -> {});
     watcher.start();
   }
 
+  private void receive(FleetSettings settings) {
+    if (settings.version() == FAILING_VERSION) {
+      throw new IllegalStateException("thrown by the test");
+    }
+    reportedVersions.add(settings.version());
+  }
+
   private void answerNextRead(String... configs) {
     ImmutableList.Builder<RowStore.StoredRow> rows = ImmutableList.builder();
     for (String config : configs) {
@@ -117,6 +128,15 @@
     assertEquals(List.of(5L), reportedVersions);
   }
 
+  /** Guards against a process that follows no version any more after an unexpected failure. */
+  @Test
+  void readsOnAfterUnexpectedFailure() {
+    answerNextRead(configJson((int) FAILING_VERSION));
+    answerNextRead("[".repeat(60_000), configJson(7));
+    assertEquals(List.of(7L), reportedVersions);
+    assertEquals(1, pendingReads.size(), "pending reads");
+  }
+
   @Test
   void storeIsUnreachableAfterOneFailedRead() {
     answerNextRead(configJson(5));
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -15,7 +15,6 @@
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.VmClient;
-import org.sassafraslink.api.fleet.VmClient.Authority;
 import org.sassafraslink.api.fleet.VmClient.Vm;
 import org.sassafraslink.api.fleet.VmClient.VmReply;
 import org.sassafraslink.api.fleet.VmClient.VmState;
@@ -350,8 +349,7 @@
         vm,
         isRecorded -> {
           if (isRecorded && lease.isValid()) {
-            Authority authority = new Authority(settings.node(), lease.epoch());
-            vmClient.startMaintenance(vm, progress.wave.number(), authority, onResponse);
+            vmClient.startMaintenance(vm, progress.wave.number(), lease.authority(), onResponse);
           } else {
             onResponse.accept(Either.left(CallFailure.NOT_PERFORMED));
           }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -14,6 +14,7 @@
 import org.sassafraslink.api.fleet.RowStore.Rows;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.RowStore.Transaction;
+import org.sassafraslink.api.fleet.VmClient.Authority;
 import org.sassafraslink.api.log.EventLog;
 
 /**
@@ -69,7 +70,7 @@
   private final SchedulerSettings settings;
   private final LeaseHolderWatch watch;
   private final Listener listener;
-  private boolean holding;
+  private volatile boolean holding;
   private boolean callPending; // to the store, other than a takeover
   private boolean takeoverPending;
 
@@ -79,7 +80,7 @@
   private boolean stopping;
   private long nextCallMillis;
 
-  private LeaseHolder holder = LeaseHolder.NONE;
+  private volatile LeaseHolder holder = LeaseHolder.NONE;
   private long holderVersion;
   private long renewalVersion;
   private boolean released; // whether the renewal row holds RELEASED_VALUE
@@ -100,8 +101,8 @@
   private long renewalCount;
   private boolean watchingHolder;
 
-  private long validUntilMillis; // monotonic
-  private long validUntilWallMillis;
+  private volatile long validUntilMillis; // monotonic
+  private volatile long validUntilWallMillis;
 
   SchedulerLease(
       ResponseTrackingRowStore store,
@@ -118,13 +119,22 @@
     this.listener = listener;
   }
 
-  /** Returns whether this process holds the lease and may send commands now. */
+  /** Returns whether this process holds the lease and may send commands now. Thread-safe. */
   boolean isValid() {
     return holding
         && clock.monotonicMillis() < validUntilMillis
         && clock.wallMillis() < validUntilWallMillis;
   }
 
+  /**
+   * Returns the authority for a command to a VM. It becomes invalid with the lease, so that a
+   * command that is delayed until another process may hold the lease is not sent any more.
+   */
+  Authority authority() {
+    long commandEpoch = epoch();
+    return new Authority(settings.node(), commandEpoch, () -> isValid() && epoch() == commandEpoch);
+  }
+
   boolean isHolding() {
     return holding;
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLoad.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLoad.java
@@ -70,7 +70,8 @@
   private int mostDirtyJobs;
   private long longestCommitMillis;
 
-  SchedulerLoad(EventLog log) {
+  /** Creates measurements that are written to a log once a second. */
+  public SchedulerLoad(EventLog log) {
     this.log = log;
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
@@ -10,7 +10,6 @@
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.VmClient;
-import org.sassafraslink.api.fleet.VmClient.Authority;
 import org.sassafraslink.api.fleet.VmClient.VmReply;
 import org.sassafraslink.api.fleet.VmClient.VmState;
 import org.sassafraslink.api.log.EventLog;
@@ -159,7 +158,7 @@
     vmClient.move(
         vm,
         pool,
-        new Authority(settings.node(), lease.epoch()),
+        lease.authority(),
         response -> {
           if (generation == sentGeneration) {
             applyResponse(vm, pool, worker, response);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -249,7 +249,7 @@
   }
 
   private void applyRow(StoredRow row) {
-    Optional<WorkerEntry> entry = formats.decodeWorker(row);
+    Optional<WorkerEntry> entry = decodeEntry(row);
     String id = row.key().key();
     if (entry.isEmpty()) {
       if (unreadableWorkerIds.add(id)) {
@@ -279,6 +279,19 @@
     }
   }
 
+  /**
+   * Decodes an entry. An entry whose decoding fails unexpectedly counts as unreadable, since it
+   * must not hide the entries after it.
+   */
+  private Optional<WorkerEntry> decodeEntry(StoredRow row) {
+    try {
+      return formats.decodeWorker(row);
+    } catch (RuntimeException e) {
+      log.log("worker.entry_failure", "worker", row.key().key(), "error", e);
+      return Optional.empty();
+    }
+  }
+
   private void registerIncarnation(WorkerEntry entry, Worker previous) {
     // Not through the index, which each registration of a full read would have to build again.
     List<Worker> others = new ArrayList<>(workersById.values());
--- /dev/null
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
@@ -0,0 +1,142 @@
+package org.sassafraslink.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.sassafraslink.api.failure.Failure;
+import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.JobSpec;
+import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.WorkerEntry;
+import org.sassafraslink.api.log.EventLog;
+
+/** Guards against one entry of another writer that hides the workers listed after it. */
+class WorkerRegistryTest {
+  private static final String ODD_ENTRY = "odd";
+
+  private long nowMillis = 10_000;
+  private final Deque<Consumer<Either<CallFailure, RowStore.Rows>>> pendingReads =
+      new ArrayDeque<>();
+  private final WorkerRegistry registry =
+      new WorkerRegistry(
+          new ManualStore(), new TestClock(), EventLog.silent(), new Formats(), worker -> {});
+
+  private final class TestClock implements FleetClock {
+    @Override
+    public long monotonicMillis() {
+      return nowMillis;
+    }
+
+    @Override
+    public long wallMillis() {
+      return nowMillis;
+    }
+  }
+
+  /** A store that answers reads only when the test calls for it. */
+  private final class ManualStore implements RowStore {
+    @Override
+    public void commit(Transaction transaction, Consumer<Outcome> callback) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void read(Range range, Consumer<Either<CallFailure, Rows>> callback) {
+      pendingReads.add(callback);
+    }
+
+    @Override
+    public void readChanges(
+        String table, long version, int waitMillis, Consumer<Either<CallFailure, Rows>> callback) {
+      pendingReads.add(callback);
+    }
+  }
+
+  /** Decodes a worker of the pool that the value names, and fails for {@link #ODD_ENTRY}. */
+  private static final class Formats implements RowFormats {
+    @Override
+    public String workerTable() {
+      return "workers";
+    }
+
+    @Override
+    public Optional<WorkerEntry> decodeWorker(RowStore.StoredRow row) {
+      if (row.value().equals(ODD_ENTRY)) {
+        throw new IllegalArgumentException("thrown by the test");
+      }
+      String id = row.key().key();
+      return Optional.of(
+          new WorkerEntry(
+              id,
+              /* incarnation= */ 1,
+              row.value(),
+              InetSocketAddress.createUnresolved(id, 1),
+              "zone",
+              "m-" + id,
+              "rack",
+              ImmutableList.of(),
+              TestWorkers.CAPACITY,
+              /* draining= */ false));
+    }
+
+    @Override
+    public Either<Failure, JobSpec> decodeJob(String id, String rowValue) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public boolean hasDecisionPartition(String rowValue) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public RowStore.Put encodeWaveStatus(long wave, boolean completed) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  private void answerRead(String... idsAndValues) {
+    registry.pollIfDue(nowMillis);
+    ImmutableList.Builder<RowStore.StoredRow> rows = ImmutableList.builder();
+    for (int i = 0; i < idsAndValues.length; i += 2) {
+      RowStore.RowKey key = new RowStore.RowKey("workers", "", idsAndValues[i]);
+      rows.add(new RowStore.StoredRow(key, idsAndValues[i + 1], /* version= */ 3, false));
+    }
+    pendingReads.poll().accept(Either.right(new RowStore.Rows(rows.build(), false, 3)));
+    nowMillis += 1_000;
+  }
+
+  private List<String> listed() {
+    return Stream.concat(registry.listedInPool("a").stream(), registry.listedInPool("b").stream())
+        .map(worker -> worker.entry.id())
+        .sorted()
+        .toList();
+  }
+
+  @Test
+  void entryThatFailsToDecodeHidesNoOther() {
+    answerRead("w0", "a", "w1", ODD_ENTRY, "w2", "a");
+    assertEquals(List.of("w0", "w2"), listed());
+    answerRead("w3", ODD_ENTRY, "w4", "b");
+    assertEquals(List.of("w0", "w2", "w4"), listed());
+  }
+
+  @Test
+  void entryThatFailsToDecodeNamesNoWorkerAnyMore() {
+    answerRead("w0", "a", "w1", "a");
+    answerRead("w1", ODD_ENTRY);
+    assertEquals(List.of("w0"), listed());
+    answerRead("w1", "a");
+    assertEquals(List.of("w0", "w1"), listed());
+  }
+}
