Pools: notice a burst within 0.3 s, and grow for waiting tasks besides arriving ones

The estimate of arriving work lags by 1 s, a VM takes 1.7 s to arrive, and a pool got VMs only for the larger of its backlog and its arrivals, so it stayed behind. Change: a second estimate over 0.3 s, used as far as it rests on several jobs; backlog and arrivals are added; the list of workers is long-polled, so that an arrived VM is seen at once instead of after up to 250 ms.

--- a/api/src/main/java/org/sassafraslink/api/fleet/Resources.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/Resources.java
@@ -23,6 +23,11 @@
         cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
   }
 
+  /** Returns this multiplied by {@code factor}. */
+  public Resources times(int factor) {
+    return new Resources(cpuMillis * factor, memoryMb * factor, accelerators * factor);
+  }
+
   /** Returns the larger amount of each resource. */
   public Resources max(Resources other) {
     return new Resources(
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
@@ -15,35 +15,95 @@
  */
 final class DemandRate {
   /**
-   * Time in which the weight of arrived work decays by a factor of e, to about a third, in ms. With
-   * a shorter time, single jobs would change the estimate too much; with a longer time, it would
-   * miss changes that last some seconds.
+   * Time in which the weight of arrived work decays by a factor of e in the estimate that is always
+   * used, in ms. With a longer time, it would miss changes that last some seconds.
    */
   private static final double DECAY_MILLIS = 1_000;
 
+  /**
+   * As {@link #DECAY_MILLIS}, for the estimate that shows early that a burst begins. It is used as
+   * far as it rests on enough jobs.
+   */
+  private static final double BURST_DECAY_MILLIS = 300;
+
   /**
    * Work that has arrived in a pool, as resource amounts times ms, each weighted by its age at
    * {@code decayedToMillis}.
    */
   private static final class DecayingWork {
+    private final double decayMillis;
     private double cpuMillis;
     private double memoryMb;
     private double accelerators;
+    private double jobWeight;
+    private double squaredJobWeight;
     private long decayedToMillis;
 
+    DecayingWork(double decayMillis) {
+      this.decayMillis = decayMillis;
+    }
+
     private void decayTo(long nowMillis) {
       if (nowMillis > decayedToMillis) {
-        double factor = Math.exp((decayedToMillis - nowMillis) / DECAY_MILLIS);
+        double factor = Math.exp((decayedToMillis - nowMillis) / decayMillis);
         cpuMillis *= factor;
         memoryMb *= factor;
         accelerators *= factor;
+        jobWeight *= factor;
+        squaredJobWeight *= factor * factor;
         decayedToMillis = nowMillis;
       }
     }
+
+    private void add(Job job, DurationModel durationModel, long ageMillis) {
+      double weight = Math.exp(-Math.max(0, ageMillis) / decayMillis);
+      for (StepSpec step : job.spec.steps()) {
+        if (!step.longRunning()) {
+          double millis =
+              weight * step.count() * durationModel.expectedMillis(job.spec.queue(), step);
+          cpuMillis += millis * step.reservedResources().cpuMillis();
+          memoryMb += millis * step.reservedResources().memoryMb();
+          accelerators += millis * step.reservedResources().accelerators();
+        }
+      }
+      jobWeight += weight;
+      squaredJobWeight += weight * weight;
+    }
+
+    /**
+     * Returns the lower end of the range in which the mean probably lies: the estimate, reduced by
+     * the relative error that the number of jobs gives it. It is 0 for a single job.
+     */
+    private Resources cautiousAverage() {
+      if (jobWeight <= 0) {
+        return Resources.NONE;
+      }
+      double effectiveJobs = jobWeight * jobWeight / squaredJobWeight;
+      return average(1 - 1 / Math.sqrt(effectiveJobs));
+    }
+
+    private Resources average(double factor) {
+      return new Resources(
+          Math.round(factor * cpuMillis / decayMillis),
+          Math.round(factor * memoryMb / decayMillis),
+          Math.round(factor * accelerators / decayMillis));
+    }
+  }
+
+  /** The arrived work of one pool, by how fast its weight decays. */
+  private record PoolWork(DecayingWork steady, DecayingWork burst) {
+    static PoolWork create() {
+      return new PoolWork(new DecayingWork(DECAY_MILLIS), new DecayingWork(BURST_DECAY_MILLIS));
+    }
+
+    void decayTo(long nowMillis) {
+      steady.decayTo(nowMillis);
+      burst.decayTo(nowMillis);
+    }
   }
 
   private final DurationModel durationModel;
-  private final Map<String, DecayingWork> workByPool = new HashMap<>();
+  private final Map<String, PoolWork> workByPool = new HashMap<>();
 
   DemandRate(DurationModel durationModel) {
     this.durationModel = durationModel;
@@ -55,30 +115,19 @@
 
   /** Adds the tasks of a job that arrived {@code ageMillis} ago, except long-running ones. */
   void addArrival(String pool, Job job, long ageMillis, long nowMillis) {
-    DecayingWork work = workByPool.computeIfAbsent(pool, name -> new DecayingWork());
+    PoolWork work = workByPool.computeIfAbsent(pool, name -> PoolWork.create());
     work.decayTo(nowMillis);
-    double weight = Math.exp(-Math.max(0, ageMillis) / DECAY_MILLIS);
-    for (StepSpec step : job.spec.steps()) {
-      if (!step.longRunning()) {
-        double millis =
-            weight * step.count() * durationModel.expectedMillis(job.spec.queue(), step);
-        work.cpuMillis += millis * step.reservedResources().cpuMillis();
-        work.memoryMb += millis * step.reservedResources().memoryMb();
-        work.accelerators += millis * step.reservedResources().accelerators();
-      }
-    }
+    work.steady().add(job, durationModel, ageMillis);
+    work.burst().add(job, durationModel, ageMillis);
   }
 
   /** Returns the resources used on average while work goes on arriving at the current rate. */
   Resources averageUse(String pool, long nowMillis) {
-    DecayingWork work = workByPool.get(pool);
+    PoolWork work = workByPool.get(pool);
     if (work == null) {
       return Resources.NONE;
     }
     work.decayTo(nowMillis);
-    return new Resources(
-        Math.round(work.cpuMillis / DECAY_MILLIS),
-        Math.round(work.memoryMb / DECAY_MILLIS),
-        Math.round(work.accelerators / DECAY_MILLIS));
+    return work.steady().average(1).max(work.burst().cautiousAverage());
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -197,13 +197,13 @@
     if (poolBacklog.tasks() == 0 && neededForArrivals.equals(Resources.NONE)) {
       return true;
     }
-    Resources vmCapacity = vmCapacityOf(usage);
     int missing =
-        Math.max(
+        PoolDemand.missingVms(
+            poolBacklog,
+            neededForArrivals,
             backlog.workersForLongRunning(pool),
-            Math.max(
-                PoolDemand.missingForBacklog(poolBacklog, usage.capacity(), vmCapacity),
-                PoolDemand.missingForSteadyNeed(neededForArrivals, usage.capacity(), vmCapacity)));
+            usage,
+            vmCapacityOf(usage));
     String reason =
         "backlog of "
             + poolBacklog.tasks()
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
@@ -22,6 +22,30 @@
     this.demandRate = demandRate;
   }
 
+  /**
+   * Returns how many more VMs of capacity {@code vmCapacity} a pool needs: enough to keep up with
+   * the work that arrives, and besides to start the tasks that already wait. With VMs only for the
+   * larger of the two, a pool that was short at the start of a burst would stay behind until its
+   * end.
+   *
+   * @param neededForArrivals what the pool needs for work arriving at the current rate
+   * @param longRunningWorkers how many more workers the waiting long-running tasks need
+   */
+  static int missingVms(
+      Backlog.PoolBacklog poolBacklog,
+      Resources neededForArrivals,
+      int longRunningWorkers,
+      PoolUsage usage,
+      Resources vmCapacity) {
+    int missingForBacklog = missingForBacklog(poolBacklog, usage.capacity(), vmCapacity);
+    int missingForBoth =
+        missingForSteadyNeed(
+            neededForArrivals.plus(vmCapacity.times(missingForBacklog)),
+            usage.capacity(),
+            vmCapacity);
+    return Math.max(longRunningWorkers, Math.max(missingForBacklog, missingForBoth));
+  }
+
   /** Returns how many more VMs of capacity {@code vmCapacity} a pool needs for its backlog. */
   static int missingForBacklog(
       Backlog.PoolBacklog poolBacklog, Resources capacity, Resources vmCapacity) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -30,8 +30,11 @@
  * list does not prove this: a worker that cannot reach the store keeps running.
  */
 final class WorkerRegistry {
-  /** Delay between two reads of the list, in ms, and so the delay in reading a change to it. */
-  private static final long POLL_INTERVAL_MILLIS = 250;
+  /** How long a long poll waits at the store for a change of the list, in ms. */
+  private static final int LONG_POLL_MILLIS = 1_000;
+
+  /** Shortest time between two reads of the list, in ms, so that simultaneous changes share one. */
+  private static final long MIN_POLL_INTERVAL_MILLIS = 50;
 
   /** Delay before a failed read is repeated, in ms. */
   private static final long RETRY_DELAY_MILLIS = 200;
@@ -155,7 +158,7 @@
     return worker;
   }
 
-  /** Reads the whole list, or the changes to it since the last read, if a read is due. */
+  /** Reads the whole list, or waits for the changes since the last read, if a read is due. */
   void pollIfDue(long nowMillis) {
     boolean isAnyRemoved =
         jobRowWorkers.removeIf(
@@ -174,7 +177,7 @@
       store.readChanges(
           formats.workerTable(),
           readVersion,
-          0,
+          LONG_POLL_MILLIS,
           response -> {
             if (generation == sentGeneration) {
               readPending = false;
@@ -219,7 +222,7 @@
       }
     }
     readVersion = version;
-    nextPollMillis = clock.monotonicMillis() + POLL_INTERVAL_MILLIS;
+    nextPollMillis = clock.monotonicMillis() + MIN_POLL_INTERVAL_MILLIS;
   }
 
   private void applyChanges(Either<CallFailure, Rows> response) {
@@ -232,7 +235,7 @@
       return;
     }
     readVersion = response.get().version();
-    nextPollMillis = now + POLL_INTERVAL_MILLIS;
+    nextPollMillis = now + MIN_POLL_INTERVAL_MILLIS;
     for (StoredRow row : response.get().rows()) {
       if (row.deleted()) {
         markUnlisted(row.key().key());
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/GuaranteeChecker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/GuaranteeChecker.java
@@ -29,6 +29,7 @@
   private final Set<TaskId> acknowledgedDoneTasks = new HashSet<>();
   private final Map<TaskId, Integer> failuresByTask = new HashMap<>();
   private final Map<String, Long> firstStartMillisByJob = new HashMap<>();
+  private final Map<String, Long> lastStartMillisByJob = new HashMap<>();
   private final Map<String, Resources> limitByTeam = new HashMap<>();
   private final Map<String, Resources> usedByTeam = new HashMap<>();
 
@@ -98,6 +99,7 @@
     }
     runningWorkers.add(worker);
     firstStartMillisByJob.putIfAbsent(task.job(), clock.nowMillis());
+    lastStartMillisByJob.put(task.job(), clock.nowMillis());
     for (int dependency : job.steps().get(task.step()).after()) {
       for (int index = 0; index < job.steps().get(dependency).count(); index++) {
         if (!doneTasks.contains(new TaskId(task.job(), task.occurrence(), dependency, index))) {
@@ -186,6 +188,11 @@
     return Optional.ofNullable(firstStartMillisByJob.get(job));
   }
 
+  /** Returns when a worker last started a task of a job; empty if none has. */
+  public Optional<Long> lastStartMillis(String job) {
+    return Optional.ofNullable(lastStartMillisByJob.get(job));
+  }
+
   /** Returns whether all tasks of the first occurrence of a job have ended successfully. */
   public boolean allTasksDone(JobSpec job) {
     for (int step = 0; step < job.steps().size(); step++) {
