Jobs are announced to the scheduler; one cut long poll is no outage

When the polls were cut, all 47 processes took the store for unreachable and rejected submissions. The worker list is read as a whole if a VM is overdue while the poll is silent. After a failed poll the next read is sent at once, and only its failure makes submissions be rejected; a configuration still counts as unconfirmed after the first failure, as before.

--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
@@ -31,7 +31,7 @@
   /** How long a long poll waits at the store for a change, in ms. */
   private static final int LONG_POLL_MILLIS = 1_000;
 
-  /** Pause between a failed read and the next one, in ms. */
+  /** Pause between a failed read and the next one, in ms, unless it is the first that fails. */
   private static final int RETRY_PAUSE_MILLIS = 100;
 
   /**
@@ -61,6 +61,9 @@
    */
   private long verifiedAtMillis;
 
+  /** The number of reads that have failed since the last one that did not. */
+  private int consecutiveFailures;
+
   /** Whether the last read failed, unless it failed with {@link CallFailure#HISTORY_DISCARDED}. */
   private boolean readsFailing;
 
@@ -122,6 +125,16 @@
     return readsFailing || nowMillis - store.lastResponseMillis() > UNREACHABLE_AFTER_MILLIS;
   }
 
+  /**
+   * Returns whether the store is probably unreachable for all calls: two reads in a row have
+   * failed, or no call has been answered for {@link #UNREACHABLE_AFTER_MILLIS}. A single failure
+   * may be that of one connection.
+   */
+  public boolean isStoreOutageLikely(long nowMillis) {
+    return consecutiveFailures > 1
+        || nowMillis - store.lastResponseMillis() > UNREACHABLE_AFTER_MILLIS;
+  }
+
   private void readNext() {
     if (readUpToVersion < 0) {
       store.read(new Range(OperatorRows.TABLE, "", "", ""), this::applyReadResult);
@@ -143,9 +156,11 @@
         readsFailing = true;
         log.log("store.lost", "failure", result.getLeft(), "age", nowMillis - verifiedAtMillis);
       }
-      timer.accept(this::readNext, RETRY_PAUSE_MILLIS);
+      consecutiveFailures++;
+      timer.accept(this::readNext, consecutiveFailures == 1 ? 0 : RETRY_PAUSE_MILLIS);
       return;
     }
+    consecutiveFailures = 0;
     if (readsFailing) {
       readsFailing = false;
       log.log("store.regained", "after", nowMillis - verifiedAtMillis);
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -81,7 +81,8 @@
                 address ->
                     ExecutorBoundClients.adviceClient(
                         HttpAdviceClient.create(address, httpClient), schedulerThread));
-    leaseHolderConnection = new LeaseHolderConnection(eventLoop, schedulerThread);
+    leaseHolderConnection =
+        new LeaseHolderConnection(eventLoop, schedulerThread, this::announceToScheduler);
     scheduler =
         Scheduler.create(
             ExecutorBoundClients.rowStore(store, schedulerThread),
@@ -108,7 +109,8 @@
             clock,
             log,
             timer,
-            () -> configWatcher.isStoreUnreachable(clock.monotonicMillis()));
+            () -> configWatcher.isStoreOutageLikely(clock.monotonicMillis()),
+            leaseHolderConnection::announceJob);
     JobRequestHandler requestHandler =
         JobRequestHandler.create(configWatcher, store, submissionWriter, clock, log);
     callerServer =
@@ -167,6 +169,10 @@
     return java.lang.management.ManagementFactory.getRuntimeMXBean().getUptime();
   }
 
+  private void announceToScheduler(String jobId) {
+    scheduler.onJobAnnounced(jobId);
+  }
+
   private boolean isReady() {
     return !stopping
         && configWatcher.newestConfig().isPresent()
--- a/entry/src/main/java/org/sassafraslink/entry/process/LeaseHolderConnection.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/LeaseHolderConnection.java
@@ -2,24 +2,30 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.FixedLengthFrameDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.sassafraslink.scheduler.LeaseHolderWatch;
 
 /**
@@ -29,13 +35,18 @@
  * <p>When the connection breaks, it is opened again. If that is refused, nothing listens at the
  * address any more, so the process has ended. If it succeeds, the new connection is watched; if it
  * times out, it is tried again. Neither shows anything about the lease, so this process then waits
- * for the lease to expire. The holder sends one byte when it releases the lease; no other data is
- * sent.
+ * for the lease to expire. The holder sends one byte when it releases the lease.
+ *
+ * <p>In the other direction, each process announces the jobs that it has accepted, by their ids.
+ * Such an announcement may be lost.
  */
 final class LeaseHolderConnection implements LeaseHolderWatch {
   /** The byte that the holder sends when it releases the lease. */
   private static final byte RELEASED_MESSAGE = 1;
 
+  /** The length of a job's id, in bytes. */
+  private static final int JOB_ID_BYTES = 16;
+
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   /** Pause before connecting again after a failure other than a refusal, in ms. */
@@ -43,6 +54,7 @@
 
   private final EventLoop eventLoop;
   private final Executor schedulerExecutor;
+  private final Consumer<String> onJobAnnounced;
   private final Bootstrap bootstrap;
 
   /** Incremented at each {@link #watch}, so that events of earlier connections can be ignored. */
@@ -54,9 +66,17 @@
   /** The connections of processes that watch this one. */
   private final Set<Channel> watcherChannels = new HashSet<>();
 
-  LeaseHolderConnection(EventLoop eventLoop, Executor schedulerExecutor) {
+  /**
+   * Creates an instance that is not connected.
+   *
+   * @param onJobAnnounced receives, on {@code schedulerExecutor}, the id of each job that this or
+   *     another process announces to this one
+   */
+  LeaseHolderConnection(
+      EventLoop eventLoop, Executor schedulerExecutor, Consumer<String> onJobAnnounced) {
     this.eventLoop = eventLoop;
     this.schedulerExecutor = schedulerExecutor;
+    this.onJobAnnounced = onJobAnnounced;
     this.bootstrap =
         new Bootstrap()
             .group(eventLoop)
@@ -71,7 +91,16 @@
         .group(eventLoopGroup)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
-        .childHandler(new WatcherChannelHandler())
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(
+                        new FixedLengthFrameDecoder(JOB_ID_BYTES), new WatcherChannelHandler());
+              }
+            })
         .bind(address)
         .syncUninterruptibly();
   }
@@ -106,6 +135,20 @@
                     channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {RELEASED_MESSAGE}))));
   }
 
+  /** Announces to the lease's holder, which may be this process, that a job was accepted. */
+  void announceJob(String jobId) {
+    schedulerExecutor.execute(() -> onJobAnnounced.accept(jobId));
+    byte[] message = jobId.getBytes(StandardCharsets.US_ASCII);
+    if (message.length == JOB_ID_BYTES) {
+      eventLoop.execute(
+          () -> {
+            if (holderChannel != null && holderChannel.isWritable()) {
+              holderChannel.writeAndFlush(Unpooled.wrappedBuffer(message));
+            }
+          });
+    }
+  }
+
   private void connectToHolder(
       InetSocketAddress address, Runnable onGone, long expectedGeneration) {
     if (expectedGeneration != watchGeneration) {
@@ -141,7 +184,6 @@
   }
 
   /** Handles connections of processes that watch this one. */
-  @ChannelHandler.Sharable
   private final class WatcherChannelHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
@@ -155,7 +197,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      ReferenceCountUtil.release(message);
+      ByteBuf frame = (ByteBuf) message;
+      String jobId = frame.toString(StandardCharsets.US_ASCII);
+      frame.release();
+      schedulerExecutor.execute(() -> onJobAnnounced.accept(jobId));
     }
 
     @Override
--- a/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
@@ -117,6 +117,7 @@
   private final Deque<Submission> waitingSubmissions = new ArrayDeque<>();
 
   private final BooleanSupplier isStoreUnreachable;
+  private final Consumer<String> onStored;
 
   /** Transactions that have no outcome yet. */
   private int transactionsInFlight;
@@ -136,12 +137,14 @@
       FleetClock clock,
       EventLog log,
       BiConsumer<Runnable, Integer> timer,
-      BooleanSupplier isStoreUnreachable) {
+      BooleanSupplier isStoreUnreachable,
+      Consumer<String> onStored) {
     this.store = store;
     this.clock = clock;
     this.log = log;
     this.timer = timer;
     this.isStoreUnreachable = isStoreUnreachable;
+    this.onStored = onStored;
   }
 
   /**
@@ -149,14 +152,16 @@
    *
    * @param timer runs a task on the writer's thread after a delay in ms
    * @param isStoreUnreachable returns whether the store answers no call at all
+   * @param onStored receives the id of each job that the writer has stored
    */
   public static SubmissionWriter create(
       RowStore store,
       FleetClock clock,
       EventLog log,
       BiConsumer<Runnable, Integer> timer,
-      BooleanSupplier isStoreUnreachable) {
-    return new SubmissionWriter(store, clock, log, timer, isStoreUnreachable);
+      BooleanSupplier isStoreUnreachable,
+      Consumer<String> onStored) {
+    return new SubmissionWriter(store, clock, log, timer, isStoreUnreachable, onStored);
   }
 
   /**
@@ -278,6 +283,7 @@
     lastCommitFailed = outcome instanceof Outcome.Failed;
     if (outcome instanceof Outcome.Committed) {
       batch.forEach(submission -> respond(submission, CallerResponse.ok(), "stored"));
+      batch.forEach(submission -> onStored.accept(submission.jobId));
       sendDueBatches();
     } else if (outcome instanceof Outcome.Conflict conflict) {
       Set<String> storedKeys = new HashSet<>();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -34,12 +34,14 @@
   private final DecisionFences fences;
   private final WorkerRegistry workers;
   private final JobFeed jobFeed;
+  private final AnnouncedJobs announcedJobs;
   private final JobProgressWriter progressWriter;
   private final TaskCommandSender commandSender;
   private final WorkerLeaseRenewer leaseRenewer;
   private final VmInventory vmInventory;
   private final VmCommandLog commandLog;
   private final MaintenanceController maintenance;
+  private final VmMover vmMover;
   private final PoolAutoscaler autoscaler;
   private final PoolStateLog poolStateLog;
   private final SchedulerLoad load;
@@ -98,6 +100,12 @@
             demandRate,
             lease::onFenced);
     this.jobFeed = new JobFeed(tracked, clock, log, new JobFeedListener());
+    this.announcedJobs =
+        new AnnouncedJobs(
+            tracked,
+            log,
+            id -> jobs.findJob(id) != null || jobCleaner.contains(id),
+            this::applyJobRows);
     this.load = new SchedulerLoad(log);
     this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, fences, load, jobs);
     this.commandSender =
@@ -121,7 +129,7 @@
         new MaintenanceController(
             vmClient, clock, log, lease, settings, workers, vmInventory, commandLog, actions);
     PoolDemand poolDemand = new PoolDemand(demandRate);
-    VmMover vmMover =
+    this.vmMover =
         new VmMover(
             vmClient,
             clock,
@@ -184,6 +192,16 @@
     }
   }
 
+  /**
+   * Announces that an entry VM has accepted a job, which this process then reads if it schedules
+   * and the store's changes do not show the job soon.
+   */
+  public void onJobAnnounced(String jobId) {
+    if (jobsRestored) {
+      announcedJobs.announce(jobId, clock.monotonicMillis());
+    }
+  }
+
   /** Returns whether this process holds a valid lease and has restored the jobs. */
   public boolean isScheduling() {
     return jobsRestored && lease.isValid();
@@ -211,7 +229,7 @@
     if (!lease.isHolding()) {
       return;
     }
-    workers.pollIfDue(now);
+    workers.pollIfDue(now, vmMover.hasOverdueMove(now));
     fences.writeIfDue(now);
     // Until then a predecessor may still change the rows of jobs.
     if (!fences.areWritten()) {
@@ -224,6 +242,7 @@
     if (!jobsRestored || !lease.isValid()) {
       return;
     }
+    announcedJobs.readIfDue(now);
     for (Worker worker : workers.all()) {
       leaseRenewer.renewIfDue(worker, now);
     }
@@ -275,6 +294,7 @@
     commandSender.reset();
     leaseRenewer.reset();
     jobFeed.reset();
+    announcedJobs.reset();
     adviceTickets.reset();
     quarantine.reset();
     pendingCounts.reset();
@@ -323,10 +343,14 @@
         earlyRows = ImmutableList.<StoredRow>builder().addAll(earlyRows).addAll(rows).build();
         return;
       }
-      for (StoredRow row : JobRows.submissionsFirst(rows)) {
-        if (!row.deleted()) {
-          jobs.applyRow(row);
-        }
+      applyJobRows(rows);
+    }
+  }
+
+  private void applyJobRows(ImmutableList<StoredRow> rows) {
+    for (StoredRow row : JobRows.submissionsFirst(rows)) {
+      if (!row.deleted()) {
+        jobs.applyRow(row);
       }
     }
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
@@ -27,6 +27,9 @@
   /** Delay before moving a VM again after a failed move, in ms. */
   private static final long RETRY_DELAY_MILLIS = 2_000;
 
+  /** Added to the duration of a move, in ms, before its VM counts as overdue. */
+  private static final long ARRIVAL_MARGIN_MILLIS = 150;
+
   private static final String CORDON_REASON = "move";
 
   /** A move to {@code pool}, requested at {@code commandMillis}, monotonic ms. */
@@ -89,6 +92,13 @@
     return moveRate.allowsMove(nowMillis);
   }
 
+  /** Returns whether a VM should have arrived in its pool, but has not been seen there. */
+  boolean hasOverdueMove(long nowMillis) {
+    long overdueMillis = settings.moveMillis() + ARRIVAL_MARGIN_MILLIS;
+    return moves.values().stream()
+        .anyMatch(move -> nowMillis - move.commandMillis() > overdueMillis);
+  }
+
   /** Returns the number of moves in progress to a pool. */
   long countMovesTo(String pool) {
     return moves.values().stream().filter(move -> move.pool().equals(pool)).count();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -36,6 +36,9 @@
   /** Shortest time between two reads of the list, in ms, so that simultaneous changes share one. */
   private static final long MIN_POLL_INTERVAL_MILLIS = 50;
 
+  /** How long a long poll may stay silent while a change is overdue, in ms. */
+  private static final long MAX_SILENCE_MILLIS = 300;
+
   /** Delay before a failed read is repeated, in ms. */
   private static final long RETRY_DELAY_MILLIS = 200;
 
@@ -62,6 +65,9 @@
 
   private boolean readPending;
 
+  /** When the pending read was sent, monotonic ms. */
+  private long pollSentMillis;
+
   /** Version of the store up to which the list has been read; -1 before the first read. */
   private long readVersion = -1;
 
@@ -158,18 +164,32 @@
     return worker;
   }
 
-  /** Reads the whole list, or waits for the changes since the last read, if a read is due. */
-  void pollIfDue(long nowMillis) {
+  /**
+   * Reads the whole list, or waits for the changes since the last read, if a read is due.
+   *
+   * @param isChangeOverdue whether the list should have changed; a long poll that stays silent is
+   *     then replaced by a read of the whole list
+   */
+  void pollIfDue(long nowMillis, boolean isChangeOverdue) {
     boolean isAnyRemoved =
         jobRowWorkers.removeIf(
             worker -> worker.isEmpty() && (worker.ended || worker.consecutiveCallFailures > 0));
     if (isAnyRemoved) {
       index = null;
     }
+    boolean isSilent = readPending && nowMillis - pollSentMillis >= MAX_SILENCE_MILLIS;
+    if (isSilent && isChangeOverdue && readVersion >= 0) {
+      // The response to the long poll is ignored.
+      generation++;
+      pollSentMillis = nowMillis;
+      readPage("", new ArrayList<>(), generation);
+      return;
+    }
     if (readPending || nowMillis < nextPollMillis) {
       return;
     }
     readPending = true;
+    pollSentMillis = nowMillis;
     long sentGeneration = generation;
     if (readVersion < 0) {
       readPage("", new ArrayList<>(), sentGeneration);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
@@ -60,6 +60,8 @@
   /** When all transactions sent so far to a partition will have been applied, by partition. */
   private final Map<String, Long> busyUntilMillisByPartition = new HashMap<>();
 
+  private long longPollsSilentUntilMillis;
+
   private long lastVersion = 10;
   private long lastDiscardedVersion;
 
@@ -87,6 +89,14 @@
     transactionMillis = millis;
   }
 
+  /**
+   * Lets long polls for changes hear nothing for {@code millis} ms, and then fail. All other calls
+   * are answered.
+   */
+  public void silenceLongPolls(long millis) {
+    longPollsSilentUntilMillis = clock.nowMillis() + millis;
+  }
+
   /** Discards the history of changes, so that readers of changes must read all rows again. */
   public void discardHistory() {
     lastDiscardedVersion = lastVersion;
@@ -362,6 +372,12 @@
         done.accept(Either.left(reachable.getLeft()));
         return;
       }
+      if (clock.nowMillis() < longPollsSilentUntilMillis) {
+        clock.runAfter(
+            longPollsSilentUntilMillis - clock.nowMillis(),
+            () -> done.accept(Either.left(CallFailure.OUTCOME_UNKNOWN)));
+        return;
+      }
       if (sinceVersion < lastDiscardedVersion) {
         done.accept(Either.left(CallFailure.HISTORY_DISCARDED));
         return;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -175,6 +175,11 @@
     killed = true;
   }
 
+  /** Passes on an entry VM's announcement that it has accepted a job. */
+  public void announce(String jobId) {
+    wrapCallback(ignored -> scheduler.onJobAnnounced(jobId)).accept(null);
+  }
+
   public void pause() {
     paused = true;
   }
