Jobs keep their rank by their own durations; the command log wakes up no other process

Causes and changes: - The objective of a job grows with its work, but was calculated from expected durations: a job whose first step took 2.8 s instead of 1 s counted as late, and its second step waited for up to 6 s behind jobs with more time. Steps that have run now count with their durations (JobDurations). - The row with the VMs that get commands was in the table for whose changes every process waits: up to 60 writes a second woke up 47 processes. It has a table of its own; the old row is still read. - A wave took as many VMs down as it may at the peak of a turn; while pools grow it takes only as many as it needs. Idle VMs that are due for maintenance are powered off first.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
@@ -71,15 +71,15 @@
     }
 
     /**
-     * Returns the lower end of the range in which the mean probably lies: the estimate, reduced by
-     * the relative error that the number of jobs gives it. It is 0 for a single job.
+     * Returns the estimate, reduced by the share of one job in the number of jobs on which it
+     * rests. It is 0 for a single job, which does not show a burst.
      */
     private Resources cautiousAverage() {
       if (jobWeight <= 0) {
         return Resources.NONE;
       }
       double effectiveJobs = jobWeight * jobWeight / squaredJobWeight;
-      return average(1 - 1 / Math.sqrt(effectiveJobs));
+      return average(1 - 1 / effectiveJobs);
     }
 
     private Resources average(double factor) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
@@ -1,6 +1,7 @@
 package org.sassafraslink.scheduler;
 
 import com.google.common.collect.ImmutableList;
+import java.util.function.IntToDoubleFunction;
 import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.StepSpec;
 
@@ -69,9 +70,12 @@
    *
    * <p>The objective of a job is a duration since its acceptance or due time: the expected duration
    * of its longest chain of steps times the slack factor of its queue, plus the target latency of
-   * the queue.
+   * the queue. Steps that have run count with their actual durations.
+   *
+   * @param nowMillis the present time, monotonic ms
+   * @param wallMillis the present time, wall-clock ms
    */
-  Rank rankOf(Job job, QueueConfig queue, long wallMillis) {
+  Rank rankOf(Job job, QueueConfig queue, long nowMillis, long wallMillis) {
     boolean isLongRunning = job.spec.steps().stream().anyMatch(StepSpec::longRunning);
     if (isLongRunning) {
       return new Rank(LONG_RUNNING, job.spec.acceptedMillis());
@@ -79,8 +83,9 @@
     if (job.isExcess) {
       return new Rank(EXCESS, job.spec.acceptedMillis());
     }
-    double totalMillis = longestChainMillis(job, queue.name(), false);
-    double remainingMillis = longestChainMillis(job, queue.name(), true);
+    JobDurations durations = JobDurations.of(job, durationModel, nowMillis);
+    double totalMillis = longestChainMillis(job.spec.steps(), durations::totalMillis);
+    double remainingMillis = longestChainMillis(job.spec.steps(), durations::remainingMillis);
     double objectiveMillis = queue.slackFactor() * totalMillis + queue.targetLatencyMillis();
     double objectiveStartMillis =
         job.spec.scheduled() ? job.spec.firstDueMillis() : job.spec.acceptedMillis();
@@ -95,12 +100,9 @@
     return new Rank(TOO_LATE, objectiveStartMillis);
   }
 
-  /**
-   * Returns the expected duration of the longest chain of dependent steps, in ms. If {@code
-   * onlyRemaining}, steps that are done count as 0.
-   */
-  private double longestChainMillis(Job job, String queueName, boolean onlyRemaining) {
-    ImmutableList<StepSpec> steps = job.spec.steps();
+  /** Returns the duration of the longest chain of dependent steps, in ms. */
+  private static double longestChainMillis(
+      ImmutableList<StepSpec> steps, IntToDoubleFunction stepMillis) {
     double[] endMillis = new double[steps.size()];
     double longestMillis = 0;
     for (int stepNumber = 0; stepNumber < steps.size(); stepNumber++) {
@@ -108,23 +110,9 @@
       for (int earlierStep : steps.get(stepNumber).after()) {
         startMillis = Math.max(startMillis, endMillis[earlierStep]);
       }
-      boolean isCounted = !onlyRemaining || !isStepDone(job, stepNumber);
-      endMillis[stepNumber] =
-          startMillis
-              + (isCounted ? durationModel.expectedMillis(queueName, steps.get(stepNumber)) : 0);
+      endMillis[stepNumber] = startMillis + stepMillis.applyAsDouble(stepNumber);
       longestMillis = Math.max(longestMillis, endMillis[stepNumber]);
     }
     return longestMillis;
   }
-
-  private static boolean isStepDone(Job job, int stepNumber) {
-    for (ImmutableList<ImmutableList<Task>> steps : job.occurrences()) {
-      for (Task task : steps.get(stepNumber)) {
-        if (task.phase != TaskPhase.DONE) {
-          return false;
-        }
-      }
-    }
-    return true;
-  }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -326,6 +326,7 @@
     // The duration of an attempt is known only if its start was confirmed.
     if (task.confirmedMillis > 0) {
       durationModel.recordDuration(task.job.spec.queue(), task.step, runMillis);
+      task.ranMillis = runMillis;
     }
     task.job.startAccepted = true;
     quarantine.recordEnd(task.worker, task, false, clock.monotonicMillis());
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -160,8 +160,10 @@
   /**
    * Drains VMs of all uncompleted waves and sends the commands for their maintenance. While a wave
    * has time to spare, it does not begin to drain a VM with tasks if its pool has a backlog.
+   *
+   * @param isCapacityScarce whether a pool waits for VMs; see {@link WavePace#downAtOnce}
    */
-  void advanceWaves(Backlog backlog, long nowMillis) {
+  void advanceWaves(Backlog backlog, boolean isCapacityScarce, long nowMillis) {
     boolean hasUncompletedWave =
         progressByWave.values().stream().anyMatch(progress -> !progress.completedReported);
     if (!hasUncompletedWave || !lease.isValid()) {
@@ -171,11 +173,12 @@
     if (vmInventory.isFresh(nowMillis)) {
       progressByWave.values().stream()
           .filter(progress -> !progress.completedReported)
-          .forEach(progress -> advanceWave(progress, backlog, nowMillis));
+          .forEach(progress -> advanceWave(progress, backlog, isCapacityScarce, nowMillis));
     }
   }
 
-  private void advanceWave(WaveProgress progress, Backlog backlog, long nowMillis) {
+  private void advanceWave(
+      WaveProgress progress, Backlog backlog, boolean isCapacityScarce, long nowMillis) {
     if (!progress.runningReported) {
       progress.runningReported = true;
       actions.writeWaveStatus(progress.wave.number(), false);
@@ -206,7 +209,7 @@
     if (pace.canWait()) {
       remaining.removeIf(vm -> isNeededByBacklog(vm, backlog));
     }
-    drainAndMaintainVms(progress, remaining, pace, nowMillis);
+    drainAndMaintainVms(progress, remaining, pace, pace.downAtOnce(isCapacityScarce), nowMillis);
   }
 
   private WavePace paceOf(WaveProgress progress, int remaining, long nowMillis) {
@@ -250,9 +253,8 @@
   }
 
   private void drainAndMaintainVms(
-      WaveProgress progress, List<String> remaining, WavePace pace, long nowMillis) {
+      WaveProgress progress, List<String> remaining, WavePace pace, int maxDown, long nowMillis) {
     remaining.sort(Comparator.comparingDouble(this::drainCost));
-    int maxDown = progress.wave.maxDown();
     int down = countDownVms(progress);
     // Other VMs are drained while some are down, so that their maintenance can start at once when
     // those are up again.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -73,7 +73,8 @@
       List<Task> tasks = job.startableTasks(wallMillis);
       if (!tasks.isEmpty()) {
         QueueConfig queue = config.queueOf(job.spec);
-        candidates.add(new Candidate(job, queue, jobOrder.rankOf(job, queue, wallMillis), tasks));
+        JobOrder.Rank rank = jobOrder.rankOf(job, queue, nowMillis, wallMillis);
+        candidates.add(new Candidate(job, queue, rank, tasks));
       }
     }
     Map<String, List<Worker>> usableByPool = new HashMap<>();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -131,6 +131,18 @@
         .ifPresent(standbyPool -> powerOffIdleVms(standbyPool, settings.get(), backlog, nowMillis));
   }
 
+  /** Returns whether a pool waits for VMs, because moves to it are in progress or found no VM. */
+  boolean isAnyPoolGrowing() {
+    return !shortPools.isEmpty()
+        || config
+            .settings()
+            .map(
+                settings ->
+                    settings.pools().values().stream()
+                        .anyMatch(pool -> !pool.standby() && vmMover.countMovesTo(pool.name()) > 0))
+            .orElse(false);
+  }
+
   /** Returns whether a worker gets no tasks of late and excess jobs; see {@link SurplusWorkers}. */
   boolean isSurplus(Worker worker) {
     return surplusWorkers.contains(worker);
@@ -282,9 +294,12 @@
     return PoolDemand.canSpareVm(usage, worker.entry.capacity(), needed);
   }
 
-  /** Finds an empty VM that another pool does not need, or else one in the standby pool. */
+  /**
+   * Finds an empty VM that another pool does not need, or else one in the standby pool. Prefers VMs
+   * that are not due for maintenance: the others get it while powered off.
+   */
   private Optional<String> findMovableVm(String pool, Backlog backlog, long nowMillis) {
-    for (Worker worker : emptyWorkers.all()) {
+    for (Worker worker : emptyWorkersBy(worker -> isDueForMaintenance.test(worker.entry.vm()))) {
       String currentPool = worker.entry.pool();
       long requiredIdleMillis =
           surplusWorkers.contains(worker)
@@ -307,7 +322,6 @@
         .filter(vm -> vm.state() == VmState.UP)
         .map(Vm::id)
         .filter(vm -> vmMover.mayMove(vm, pool, nowMillis))
-        // Prefers VMs that are not due for maintenance: the others get it while powered off.
         .min(Comparator.comparing(isDueForMaintenance::test));
   }
 
@@ -359,9 +373,14 @@
         && vmMover.mayMove(worker.entry.vm(), pool, nowMillis);
   }
 
+  /** Returns the empty workers, those for which {@code isLast} is true after the others. */
+  private List<Worker> emptyWorkersBy(Predicate<Worker> isLast) {
+    return emptyWorkers.all().stream().sorted(Comparator.comparing(isLast::test)).toList();
+  }
+
   private void powerOffIdleVms(
       String standbyPool, FleetSettings settings, Backlog backlog, long nowMillis) {
-    for (Worker worker : emptyWorkers.all()) {
+    for (Worker worker : emptyWorkersBy(worker -> !isDueForMaintenance.test(worker.entry.vm()))) {
       String currentPool = worker.entry.pool();
       PoolConfig poolConfig = settings.pools().get(currentPool);
       boolean isIdle = emptyWorkers.emptyMillis(worker, nowMillis) >= IDLE_BEFORE_POWER_OFF_MILLIS;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -248,7 +248,7 @@
     }
     commandSender.resendIfDue(now);
     commandLog.readOrWriteIfDue(now);
-    maintenance.advanceWaves(placement.backlog(), now);
+    maintenance.advanceWaves(placement.backlog(), autoscaler.isAnyPoolGrowing(), now);
     commandSender.stopLongRunningOnDraining(workers.all());
     placementRounds.placeIfDue(now);
     autoscaler.adjustPools(placement.backlog(), now);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -63,6 +63,9 @@
   /** The earliest time for sending the next start or stop command, monotonic ms. */
   long nextCommandMillis;
 
+  /** How long the successful attempt ran, in ms; 0 before, or if that is unknown. */
+  long ranMillis;
+
   /** When the last attempt ended, monotonic ms. */
   long endedMillis;
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -35,7 +36,16 @@
  * need VMs most after a failure.
  */
 final class VmCommandLog {
-  private static final RowKey KEY = new RowKey("control", JobRows.MAIN_PARTITION, "orders");
+  /**
+   * In a table of its own, since all entry VMs wait for changes of the table with the lease, while
+   * this row changes with each batch of commands.
+   */
+  private static final RowKey KEY = new RowKey("vm-commands", JobRows.MAIN_PARTITION, "orders");
+
+  /** Where the previous version recorded its commands. */
+  private static final RowKey PREVIOUS_VERSION_KEY =
+      new RowKey("control", JobRows.MAIN_PARTITION, "orders");
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   /** Added to the pause that the platform requires, in ms, because clocks differ in rate. */
@@ -125,22 +135,32 @@
     callPending = true;
     long sentGeneration = generation;
     store.read(
-        new Range(KEY.table(), KEY.partition(), KEY.key(), KEY.key() + '\0'),
-        response -> {
-          if (generation == sentGeneration) {
-            callPending = false;
-            applyRead(response, nowMillis);
-          }
-        });
+        rangeOf(KEY),
+        rows ->
+            store.read(
+                rangeOf(PREVIOUS_VERSION_KEY),
+                previousVersionRows -> {
+                  if (generation == sentGeneration) {
+                    callPending = false;
+                    applyRead(rows, previousVersionRows, nowMillis);
+                  }
+                }));
+  }
+
+  private static Range rangeOf(RowKey key) {
+    return new Range(key.table(), key.partition(), key.key(), key.key() + '\0');
   }
 
-  private void applyRead(Either<CallFailure, Rows> response, long nowMillis) {
-    if (response.isLeft()) {
+  private void applyRead(
+      Either<CallFailure, Rows> rows,
+      Either<CallFailure, Rows> previousVersionRows,
+      long nowMillis) {
+    if (rows.isLeft() || previousVersionRows.isLeft()) {
       nextCallMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
       return;
     }
     loaded = true;
-    for (StoredRow row : response.get().rows()) {
+    for (StoredRow row : Iterables.concat(rows.get().rows(), previousVersionRows.get().rows())) {
       for (String vm : decode(row.value())) {
         pausedUntilMillis.put(vm, nowMillis + pauseMillis);
         recordedUntilMillis.put(vm, nowMillis + pauseMillis);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WavePace.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WavePace.java
@@ -42,6 +42,19 @@
     return remainingMillis() > rounds() * (maintenanceMillis + MAX_DRAIN_MILLIS);
   }
 
+  /**
+   * Returns how many VMs may be down at once. While capacity is scarce, that is only as many as it
+   * takes to finish within the planned time, since every VM that is down is missing elsewhere.
+   */
+  int downAtOnce(boolean isCapacityScarce) {
+    if (!isCapacityScarce || remainingMillis() <= 0) {
+      return maxDown;
+    }
+    double roundMillis = maintenanceMillis + MIN_DRAIN_MILLIS;
+    double needed = Math.ceil(remainingVms * roundMillis / remainingMillis());
+    return (int) Math.min(maxDown, needed);
+  }
+
   private double remainingMillis() {
     return durationMillis * PLANNED_FRACTION - elapsedMillis;
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.RowStore.RowKey;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.sim.FakeRowStore;
 import org.sassafraslink.scheduler.sim.FakeRowStore.Behavior;
@@ -166,6 +167,34 @@
     assertTrue(successor.maySendCommand("m1"));
   }
 
+  @Test
+  void successorPausesCommandsToVmsRecordedByPreviousVersion() {
+    fakeStore.putRow("control", JobRows.MAIN_PARTITION, "orders", "[\"m1\"]");
+    Node node = startHolder();
+    assertFalse(node.maySendCommand("m1"));
+    assertTrue(node.maySendCommand("m2"));
+    clock.advance(PAUSE_MILLIS + 500);
+    assertTrue(node.maySendCommand("m1"));
+  }
+
+  /** Guards against a record for each command that wakes up every process of the system. */
+  @Test
+  void recordingDoesNotChangeTheTableWithTheLease() {
+    Node node = startHolder();
+    List<Long> changes = new ArrayList<>();
+    fakeStore
+        .viewOf("watcher", Set.of())
+        .readChanges(
+            "control",
+            fakeStore.findRow(new RowKey("control", JobRows.MAIN_PARTITION, "renewal")).version(),
+            /* waitMillis= */ 100,
+            rows -> changes.add((long) rows.get().rows().size()));
+    node.recordVm("m1");
+    clock.advance(150);
+    assertEquals(List.of(true), node.recordResults);
+    assertEquals(List.of(0L), changes);
+  }
+
   @Test
   void pauseIsKeptAfterTwoTakeovers() {
     Node first = startHolder();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WavePaceTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WavePaceTest.java
@@ -34,6 +34,32 @@
             .canWait());
   }
 
+  /** Guards against a wave that takes VMs away from a burst although it has time. */
+  @ParameterizedTest
+  @CsvSource({
+    // 128 rounds of 2.7 s in the 21 s that are planned.
+    "0, 128, true, 17",
+    "0, 128, false, 54",
+    // Half of the time has passed, but three quarters of the VMs remain.
+    "10500, 96, true, 25",
+    "10500, 3, true, 1",
+    // Behind schedule.
+    "20000, 128, true, 54",
+    "25000, 1, true, 54"
+  })
+  void takesOnlyNeededVmsDownWhileCapacityIsScarce(
+      long elapsedMillis, int remainingVms, boolean isCapacityScarce, int expected) {
+    assertEquals(
+        expected,
+        new WavePace(
+                /* durationMillis= */ 30_000,
+                elapsedMillis,
+                remainingVms,
+                /* maxDown= */ 54,
+                /* maintenanceMillis= */ 2_000)
+            .downAtOnce(isCapacityScarce));
+  }
+
   @ParameterizedTest
   @CsvSource({
     // A drain takes at most 2 s.
