Pools: more headroom while demand rises, half of the backlog

Change: a headroom of a half instead of a fifth while the burst estimate is above the steady one; half of the backlog's resources.

--- a/api/src/main/java/org/sassafraslink/api/fleet/Resources.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/Resources.java
@@ -23,9 +23,12 @@
         cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
   }
 
-  /** Returns this multiplied by {@code factor}. */
-  public Resources times(int factor) {
-    return new Resources(cpuMillis * factor, memoryMb * factor, accelerators * factor);
+  /** Returns this multiplied by {@code factor}, with whole accelerators, rounded up. */
+  public Resources times(double factor) {
+    return new Resources(
+        (long) (cpuMillis * factor),
+        (long) (memoryMb * factor),
+        (long) Math.ceil(accelerators * factor));
   }
 
   /** Returns the larger amount of each resource. */
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
@@ -121,13 +121,25 @@
     work.burst().add(job, durationModel, ageMillis);
   }
 
-  /** Returns the resources used on average while work goes on arriving at the current rate. */
-  Resources averageUse(String pool, long nowMillis) {
+  /**
+   * The work that arrives in a pool.
+   *
+   * @param averageUse the resources used on average while work goes on arriving at the current rate
+   * @param isRising whether the rate has risen recently, so that it may rise further
+   */
+  record Estimate(Resources averageUse, boolean isRising) {
+    static final Estimate NONE = new Estimate(Resources.NONE, false);
+  }
+
+  /** Returns the estimate for a pool. */
+  Estimate estimate(String pool, long nowMillis) {
     PoolWork work = workByPool.get(pool);
     if (work == null) {
-      return Resources.NONE;
+      return Estimate.NONE;
     }
     work.decayTo(nowMillis);
-    return work.steady().average(1).max(work.burst().cautiousAverage());
+    Resources steady = work.steady().average(1);
+    Resources burst = work.burst().cautiousAverage();
+    return new Estimate(steady.max(burst), !steady.covers(burst));
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
@@ -10,6 +10,18 @@
   /** Ratio of a pool's needed capacity to the average use by arriving work, to absorb bursts. */
   private static final double BURST_HEADROOM_FACTOR = 1.2;
 
+  /**
+   * As {@link #BURST_HEADROOM_FACTOR}, while the rate of arriving work rises. It goes on rising
+   * while the VMs that are ordered now are on their way.
+   */
+  private static final double RISING_HEADROOM_FACTOR = 1.5;
+
+  /**
+   * The fraction of the resources of the waiting tasks that a pool gets besides those for arriving
+   * work. VMs stay in a pool for at least twice as long as a usual task runs.
+   */
+  private static final double BACKLOG_FRACTION = 0.5;
+
   /**
    * Time within which the waiting tasks of late and excess jobs should all be done, in ms. It is
    * the longest time in which work may start.
@@ -24,9 +36,9 @@
 
   /**
    * Returns how many more VMs of capacity {@code vmCapacity} a pool needs: enough to keep up with
-   * the work that arrives, and besides to start the tasks that already wait. With VMs only for the
-   * larger of the two, a pool that was short at the start of a burst would stay behind until its
-   * end.
+   * the work that arrives, and besides to catch up with the tasks that already wait. With VMs only
+   * for the larger of the two, a pool that was short at the start of a burst would stay behind
+   * until its end.
    *
    * @param neededForArrivals what the pool needs for work arriving at the current rate
    * @param longRunningWorkers how many more workers the waiting long-running tasks need
@@ -38,11 +50,9 @@
       PoolUsage usage,
       Resources vmCapacity) {
     int missingForBacklog = missingForBacklog(poolBacklog, usage.capacity(), vmCapacity);
-    int missingForBoth =
-        missingForSteadyNeed(
-            neededForArrivals.plus(vmCapacity.times(missingForBacklog)),
-            usage.capacity(),
-            vmCapacity);
+    Resources neededForBoth =
+        neededForArrivals.plus(poolBacklog.resources().times(BACKLOG_FRACTION));
+    int missingForBoth = missingForSteadyNeed(neededForBoth, usage.capacity(), vmCapacity);
     return Math.max(longRunningWorkers, Math.max(missingForBacklog, missingForBoth));
   }
 
@@ -80,16 +90,12 @@
    * {@link Resources#NONE} if no work arrives.
    */
   Resources neededForArrivals(String pool, PoolUsage usage, long nowMillis) {
-    Resources averageUse = demandRate.averageUse(pool, nowMillis);
-    if (averageUse.equals(Resources.NONE)) {
+    DemandRate.Estimate estimate = demandRate.estimate(pool, nowMillis);
+    if (estimate.averageUse().equals(Resources.NONE)) {
       return Resources.NONE;
     }
-    Resources needed =
-        new Resources(
-            (long) (averageUse.cpuMillis() * BURST_HEADROOM_FACTOR),
-            (long) (averageUse.memoryMb() * BURST_HEADROOM_FACTOR),
-            (long) Math.ceil(averageUse.accelerators() * BURST_HEADROOM_FACTOR));
-    return needed.plus(usage.longRunning());
+    double headroomFactor = estimate.isRising() ? RISING_HEADROOM_FACTOR : BURST_HEADROOM_FACTOR;
+    return estimate.averageUse().times(headroomFactor).plus(usage.longRunning());
   }
 
   /**
