Read the worker list in a class of its own, and lose no change between its pages

Cause: after a read of several pages, changes were read from the version of the last page: a change of an earlier page that happened in between was never seen. Found by reading; it needs more than 500 workers. Change: WorkerListFeed reads from the lowest version; the registry keeps no input and output.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -1,7 +1,6 @@
 package org.sassafraslink.scheduler;
 
 import com.google.common.collect.ImmutableList;
-import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,12 +10,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.RowStore;
-import org.sassafraslink.api.fleet.RowStore.Range;
-import org.sassafraslink.api.fleet.RowStore.Rows;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.WorkerEntry;
@@ -30,25 +26,12 @@
  * list does not prove this: a worker that cannot reach the store keeps running.
  */
 final class WorkerRegistry {
-  /** How long a long poll waits at the store for a change of the list, in ms. */
-  private static final int LONG_POLL_MILLIS = 1_000;
-
-  /** Shortest time between two reads of the list, in ms, so that simultaneous changes share one. */
-  private static final long MIN_POLL_INTERVAL_MILLIS = 50;
-
-  /** How long a long poll may stay silent while a change is overdue, in ms. */
-  private static final long MAX_SILENCE_MILLIS = 300;
-
-  /** Delay before a failed read is repeated, in ms. */
-  private static final long RETRY_DELAY_MILLIS = 200;
-
   /** Address of a worker known only from a job's row; its port 0 marks it as unreachable. */
   private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
 
-  private final RowStore store;
-  private final FleetClock clock;
   private final EventLog log;
   private final RowFormats formats;
+  private final WorkerListFeed listFeed;
   private final Consumer<Worker> onEnd;
 
   /** Workers that are listed, or that were listed and may still run tasks. */
@@ -63,27 +46,29 @@
   /** The workers by pool and by VM; null after a change until the next lookup. */
   private WorkerIndex index;
 
-  private boolean readPending;
-
-  /** When the pending read was sent, monotonic ms. */
-  private long pollSentMillis;
-
-  /** Version of the store up to which the list has been read; -1 before the first read. */
-  private long readVersion = -1;
-
-  private long nextPollMillis;
-
-  /** Incremented by each reset; responses to requests from before it are ignored. */
-  private long generation;
-
   private long predecessorLeaseEndMillis; // monotonic
 
   WorkerRegistry(
       RowStore store, FleetClock clock, EventLog log, RowFormats formats, Consumer<Worker> onEnd) {
-    this.store = store;
-    this.clock = clock;
     this.log = log;
     this.formats = formats;
+    this.listFeed =
+        new WorkerListFeed(
+            store,
+            clock,
+            log,
+            formats.workerTable(),
+            new WorkerListFeed.Listener() {
+              @Override
+              public void onWholeList(ImmutableList<StoredRow> rows) {
+                applyWholeList(rows);
+              }
+
+              @Override
+              public void onChanges(ImmutableList<StoredRow> rows) {
+                applyChanges(rows);
+              }
+            });
     this.onEnd = onEnd;
   }
 
@@ -93,10 +78,7 @@
    * @param leaseEndMillis when all leases of earlier schedulers have expired, monotonic ms
    */
   void reset(long leaseEndMillis) {
-    generation++;
-    readPending = false;
-    readVersion = -1;
-    nextPollMillis = 0;
+    listFeed.reset();
     workersById.clear();
     jobRowWorkers.clear();
     index = null;
@@ -105,7 +87,7 @@
 
   /** Returns whether the list has been read at least once. */
   boolean isLoaded() {
-    return readVersion >= 0;
+    return listFeed.isLoaded();
   }
 
   /** Returns all workers that may run tasks, listed or not, as of the time of the call. */
@@ -164,12 +146,7 @@
     return worker;
   }
 
-  /**
-   * Reads the whole list, or waits for the changes since the last read, if a read is due.
-   *
-   * @param isChangeOverdue whether the list should have changed; a long poll that stays silent is
-   *     then replaced by a read of the whole list
-   */
+  /** Reads the list if that is due; see {@link WorkerListFeed#pollIfDue}. */
   void pollIfDue(long nowMillis, boolean isChangeOverdue) {
     boolean isAnyRemoved =
         jobRowWorkers.removeIf(
@@ -177,60 +154,10 @@
     if (isAnyRemoved) {
       index = null;
     }
-    boolean isSilent = readPending && nowMillis - pollSentMillis >= MAX_SILENCE_MILLIS;
-    if (isSilent && isChangeOverdue && readVersion >= 0) {
-      // The response to the long poll is ignored.
-      generation++;
-      pollSentMillis = nowMillis;
-      readPage("", new ArrayList<>(), generation);
-      return;
-    }
-    if (readPending || nowMillis < nextPollMillis) {
-      return;
-    }
-    readPending = true;
-    pollSentMillis = nowMillis;
-    long sentGeneration = generation;
-    if (readVersion < 0) {
-      readPage("", new ArrayList<>(), sentGeneration);
-    } else {
-      store.readChanges(
-          formats.workerTable(),
-          readVersion,
-          LONG_POLL_MILLIS,
-          response -> {
-            if (generation == sentGeneration) {
-              readPending = false;
-              applyChanges(response);
-            }
-          });
-    }
-  }
-
-  private void readPage(String fromKey, List<StoredRow> rowsSoFar, long sentGeneration) {
-    store.read(
-        new Range(formats.workerTable(), "", fromKey, ""),
-        response -> {
-          if (generation != sentGeneration) {
-            return;
-          }
-          if (response.isLeft()) {
-            readPending = false;
-            nextPollMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
-            return;
-          }
-          rowsSoFar.addAll(response.get().rows());
-          if (response.get().hasMore() && !response.get().rows().isEmpty()) {
-            StoredRow last = rowsSoFar.get(rowsSoFar.size() - 1);
-            readPage(last.key().key() + '\0', rowsSoFar, sentGeneration);
-            return;
-          }
-          readPending = false;
-          applyFullRead(rowsSoFar, response.get().version());
-        });
+    listFeed.pollIfDue(nowMillis, isChangeOverdue);
   }
 
-  private void applyFullRead(List<StoredRow> rows, long version) {
+  private void applyWholeList(ImmutableList<StoredRow> rows) {
     Set<String> listedIds = new HashSet<>();
     for (StoredRow row : rows) {
       listedIds.add(row.key().key());
@@ -241,22 +168,10 @@
         markUnlisted(worker.entry.id());
       }
     }
-    readVersion = version;
-    nextPollMillis = clock.monotonicMillis() + MIN_POLL_INTERVAL_MILLIS;
   }
 
-  private void applyChanges(Either<CallFailure, Rows> response) {
-    long now = clock.monotonicMillis();
-    if (response.isLeft()) {
-      nextPollMillis = now + RETRY_DELAY_MILLIS;
-      if (response.getLeft() == CallFailure.HISTORY_DISCARDED) {
-        restartFullRead();
-      }
-      return;
-    }
-    readVersion = response.get().version();
-    nextPollMillis = now + MIN_POLL_INTERVAL_MILLIS;
-    for (StoredRow row : response.get().rows()) {
+  private void applyChanges(ImmutableList<StoredRow> rows) {
+    for (StoredRow row : rows) {
       if (row.deleted()) {
         markUnlisted(row.key().key());
       } else {
@@ -265,12 +180,6 @@
     }
   }
 
-  private void restartFullRead() {
-    log.log("workers.history_discarded", "after", readVersion);
-    readPending = true;
-    readPage("", new ArrayList<>(), generation);
-  }
-
   private void applyRow(StoredRow row) {
     Optional<WorkerEntry> entry = decodeEntry(row);
     String id = row.key().key();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
@@ -25,6 +25,7 @@
   private static final String ODD_ENTRY = "odd";
 
   private long nowMillis = 10_000;
+  private long changesReadAfter;
   private final Deque<Consumer<Either<CallFailure, RowStore.Rows>>> pendingReads =
       new ArrayDeque<>();
   private final WorkerRegistry registry =
@@ -58,6 +59,7 @@
     @Override
     public void readChanges(
         String table, long version, int waitMillis, Consumer<Either<CallFailure, Rows>> callback) {
+      changesReadAfter = version;
       pendingReads.add(callback);
     }
   }
@@ -106,13 +108,17 @@
   }
 
   private void answerRead(String... idsAndValues) {
+    answerPage(/* hasMore= */ false, /* version= */ 3, idsAndValues);
+  }
+
+  private void answerPage(boolean hasMore, long version, String... idsAndValues) {
     registry.pollIfDue(nowMillis, /* isChangeOverdue= */ false);
     ImmutableList.Builder<RowStore.StoredRow> rows = ImmutableList.builder();
     for (int i = 0; i < idsAndValues.length; i += 2) {
       RowStore.RowKey key = new RowStore.RowKey("workers", "", idsAndValues[i]);
-      rows.add(new RowStore.StoredRow(key, idsAndValues[i + 1], /* version= */ 3, false));
+      rows.add(new RowStore.StoredRow(key, idsAndValues[i + 1], version, false));
     }
-    pendingReads.poll().accept(Either.right(new RowStore.Rows(rows.build(), false, 3)));
+    pendingReads.poll().accept(Either.right(new RowStore.Rows(rows.build(), hasMore, version)));
     nowMillis += 1_000;
   }
 
@@ -131,6 +137,16 @@
     assertEquals(List.of("w0", "w2", "w4"), listed());
   }
 
+  /** Guards against losing a change of the first page that happens before the second is read. */
+  @Test
+  void changesAreReadFromTheVersionOfTheFirstPage() {
+    answerPage(/* hasMore= */ true, /* version= */ 5, "w0", "a");
+    answerPage(/* hasMore= */ false, /* version= */ 9, "w1", "a");
+    assertEquals(List.of("w0", "w1"), listed());
+    registry.pollIfDue(nowMillis, /* isChangeOverdue= */ false);
+    assertEquals(5, changesReadAfter);
+  }
+
   @Test
   void entryThatFailsToDecodeNamesNoWorkerAnyMore() {
     answerRead("w0", "a", "w1", "a");
