Retry-After is as long as the store has been silent

Cause: callers repeat a request four times. Change: 1 to 5 s, as long as the store has not responded to this VM.

--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
@@ -122,7 +122,7 @@
    * call has been answered for {@link #UNREACHABLE_AFTER_MILLIS}.
    */
   public boolean isStoreUnreachable(long nowMillis) {
-    return readsFailing || nowMillis - store.lastResponseMillis() > UNREACHABLE_AFTER_MILLIS;
+    return readsFailing || storeSilenceMillis(nowMillis) > UNREACHABLE_AFTER_MILLIS;
   }
 
   /**
@@ -131,8 +131,12 @@
    * may be that of one connection.
    */
   public boolean isStoreOutageLikely(long nowMillis) {
-    return consecutiveFailures > 1
-        || nowMillis - store.lastResponseMillis() > UNREACHABLE_AFTER_MILLIS;
+    return consecutiveFailures > 1 || storeSilenceMillis(nowMillis) > UNREACHABLE_AFTER_MILLIS;
+  }
+
+  /** Returns for how long the store has answered no call of this process, in ms. */
+  public long storeSilenceMillis(long nowMillis) {
+    return nowMillis - store.lastResponseMillis();
   }
 
   private void readNext() {
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -13,6 +13,7 @@
 import org.sassafraslink.entry.connection.CallerServer;
 import org.sassafraslink.entry.connection.StatusServer;
 import org.sassafraslink.entry.request.JobRequestHandler;
+import org.sassafraslink.entry.request.StoreHealth;
 import org.sassafraslink.entry.request.SubmissionWriter;
 import org.sassafraslink.platform.fleet.AsyncHttpClient;
 import org.sassafraslink.platform.fleet.HttpAdviceClient;
@@ -105,12 +106,7 @@
             waves -> schedulerThread.execute(() -> scheduler.onWaves(waves)));
     SubmissionWriter submissionWriter =
         SubmissionWriter.create(
-            store,
-            clock,
-            log,
-            timer,
-            () -> configWatcher.isStoreOutageLikely(clock.monotonicMillis()),
-            leaseHolderConnection::announceJob);
+            store, clock, log, timer, new WatchedStoreHealth(), leaseHolderConnection::announceJob);
     JobRequestHandler requestHandler =
         JobRequestHandler.create(configWatcher, store, submissionWriter, clock, log);
     callerServer =
@@ -169,6 +165,19 @@
     return java.lang.management.ManagementFactory.getRuntimeMXBean().getUptime();
   }
 
+  /** Judges the store by the reads of the configuration and by all answers. */
+  private final class WatchedStoreHealth implements StoreHealth {
+    @Override
+    public boolean isOutageLikely() {
+      return configWatcher.isStoreOutageLikely(clock.monotonicMillis());
+    }
+
+    @Override
+    public long silenceMillis() {
+      return configWatcher.storeSilenceMillis(clock.monotonicMillis());
+    }
+  }
+
   private void announceToScheduler(String jobId) {
     scheduler.onJobAnnounced(jobId);
   }
--- a/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
@@ -38,9 +38,6 @@
 public final class JobRequestHandler {
   private static final Pattern JOB_ID = Pattern.compile("[0-9a-fA-F]{16}");
 
-  /** Time after which a caller may retry a request that could not be handled, in seconds. */
-  private static final int RETRY_AFTER_SECONDS = 1;
-
   /** Age at which the cached counts of pending jobs are read again, in ms. */
   private static final long MAX_PENDING_COUNTS_AGE_MILLIS = 500;
 
@@ -365,11 +362,11 @@
   }
 
   /** Returns the response to a request whose read failed; nothing has been changed. */
-  private static CallerResponse storeUnavailable() {
+  private CallerResponse storeUnavailable() {
     return retryLater(FailureType.STORE_UNAVAILABLE, "The store is not responding.");
   }
 
-  private static CallerResponse cancellationFailed(CallFailure failure) {
+  private CallerResponse cancellationFailed(CallFailure failure) {
     return failure == CallFailure.NOT_PERFORMED
         ? retryLater(FailureType.STORE_UNAVAILABLE, "The store is not responding.")
         : CallerResponse.failed(
@@ -378,7 +375,8 @@
                 "The store has not confirmed whether the job was cancelled."));
   }
 
-  private static CallerResponse retryLater(FailureType type, String detail) {
-    return CallerResponse.failed(Failure.of(type, detail), RETRY_AFTER_SECONDS);
+  private CallerResponse retryLater(FailureType type, String detail) {
+    long silenceMillis = configWatcher.storeSilenceMillis(clock.monotonicMillis());
+    return CallerResponse.failed(Failure.of(type, detail), RetryDelay.seconds(silenceMillis));
   }
 }
--- a/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.failure.FailureType;
@@ -68,9 +67,6 @@
   /** Time before the caller's deadline at which the response is sent at the latest, in ms. */
   private static final long RESPONSE_MARGIN_MILLIS = 150;
 
-  /** Time after which a caller may retry a rejected submission, in seconds. */
-  private static final int RETRY_AFTER_SECONDS = 1;
-
   /** Number of jobs whose outcome is remembered for callers that submit them again. */
   private static final int MAX_REMEMBERED_JOBS = 10_000;
 
@@ -116,7 +112,7 @@
   /** Submissions that are in no transaction; retried ones are at the front. */
   private final Deque<Submission> waitingSubmissions = new ArrayDeque<>();
 
-  private final BooleanSupplier isStoreUnreachable;
+  private final StoreHealth storeHealth;
   private final Consumer<String> onStored;
 
   /** Transactions that have no outcome yet. */
@@ -137,13 +133,13 @@
       FleetClock clock,
       EventLog log,
       BiConsumer<Runnable, Integer> timer,
-      BooleanSupplier isStoreUnreachable,
+      StoreHealth storeHealth,
       Consumer<String> onStored) {
     this.store = store;
     this.clock = clock;
     this.log = log;
     this.timer = timer;
-    this.isStoreUnreachable = isStoreUnreachable;
+    this.storeHealth = storeHealth;
     this.onStored = onStored;
   }
 
@@ -151,7 +147,6 @@
    * Returns a writer that inserts jobs into {@code store}.
    *
    * @param timer runs a task on the writer's thread after a delay in ms
-   * @param isStoreUnreachable returns whether the store answers no call at all
    * @param onStored receives the id of each job that the writer has stored
    */
   public static SubmissionWriter create(
@@ -159,9 +154,9 @@
       FleetClock clock,
       EventLog log,
       BiConsumer<Runnable, Integer> timer,
-      BooleanSupplier isStoreUnreachable,
+      StoreHealth storeHealth,
       Consumer<String> onStored) {
-    return new SubmissionWriter(store, clock, log, timer, isStoreUnreachable, onStored);
+    return new SubmissionWriter(store, clock, log, timer, storeHealth, onStored);
   }
 
   /**
@@ -181,7 +176,7 @@
       callback.accept(CallerResponse.ok());
       return;
     }
-    if (isStoreUnreachable.getAsBoolean()) {
+    if (storeHealth.isOutageLikely()) {
       boolean isPossiblyStored = knownOutcome == KnownOutcome.POSSIBLY_STORED;
       log.log(
           "job.submitted",
@@ -331,7 +326,7 @@
         submission -> {
           if (submission.possiblyStored) {
             boolean isOverdue =
-                isStoreUnreachable.getAsBoolean()
+                storeHealth.isOutageLikely()
                     || nowMillis >= submission.deadlineMillis - RESPONSE_MARGIN_MILLIS;
             if (isOverdue) {
               respond(submission, outcomeUnknownResponse(), "unknown");
@@ -340,7 +335,7 @@
           }
           boolean isOverdue =
               (nowMillis - submission.receivedMillis >= REJECT_AFTER_MILLIS
-                      && (lastCommitFailed || isStoreUnreachable.getAsBoolean()))
+                      && (lastCommitFailed || storeHealth.isOutageLikely()))
                   || nowMillis >= submission.deadlineMillis - RESPONSE_MARGIN_MILLIS;
           if (isOverdue) {
             respond(submission, notStoredResponse(), "refused");
@@ -356,9 +351,10 @@
             "The store has not confirmed whether the job was stored."));
   }
 
-  private static CallerResponse notStoredResponse() {
+  private CallerResponse notStoredResponse() {
     return CallerResponse.failed(
-        Failure.of(FailureType.STORE_UNAVAILABLE, "The job was not stored."), RETRY_AFTER_SECONDS);
+        Failure.of(FailureType.STORE_UNAVAILABLE, "The job was not stored."),
+        RetryDelay.seconds(storeHealth.silenceMillis()));
   }
 
   private void respond(Submission submission, CallerResponse response, String outcome) {
--- a/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
@@ -98,6 +98,18 @@
     }
   }
 
+  private static final class HealthyStore implements StoreHealth {
+    @Override
+    public boolean isOutageLikely() {
+      return false;
+    }
+
+    @Override
+    public long silenceMillis() {
+      return 0;
+    }
+  }
+
   private void store(RowStore.RowKey key, String value) {
     rows.put(key, new RowStore.StoredRow(key, value, 1, false));
   }
@@ -121,7 +133,7 @@
             new TestClock(),
             EventLog.silent(),
             (task, millis) -> task.run(),
-            () -> false,
+            new HealthyStore(),
             id -> {});
     handler = JobRequestHandler.create(watcher, store, writer, new TestClock(), EventLog.silent());
     reads.clear();
--- a/entry/src/test/java/org/sassafraslink/entry/request/SubmissionWriterTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/SubmissionWriterTest.java
@@ -35,6 +35,7 @@
   private final Deque<RowStore.Outcome> scriptedOutcomes = new ArrayDeque<>();
   private final List<RowStore.Transaction> transactions = new ArrayList<>();
   private final List<Integer> responseStatuses = new ArrayList<>();
+  private final List<Integer> retryAfterSeconds = new ArrayList<>();
   private final List<String> storedJobs = new ArrayList<>();
 
   private final SubmissionWriter writer =
@@ -43,7 +44,7 @@
           new TestClock(),
           EventLog.silent(),
           this::runAfter,
-          () -> storeUnreachable,
+          new ScriptedHealth(),
           storedJobs::add);
 
   private final class TestClock implements FleetClock {
@@ -80,6 +81,18 @@
     }
   }
 
+  private final class ScriptedHealth implements StoreHealth {
+    @Override
+    public boolean isOutageLikely() {
+      return storeUnreachable;
+    }
+
+    @Override
+    public long silenceMillis() {
+      return 2_500;
+    }
+  }
+
   private void runAfter(Runnable task, int millis) {
     nowMillis += millis;
     task.run();
@@ -90,7 +103,10 @@
         jobId,
         "row",
         nowMillis + DEADLINE_MILLIS,
-        response -> responseStatuses.add(response.status()));
+        response -> {
+          responseStatuses.add(response.status());
+          retryAfterSeconds.add(response.retryAfterSeconds());
+        });
   }
 
   private static RowStore.Outcome failed(CallFailure failure) {
@@ -151,6 +167,7 @@
     long startMillis = nowMillis;
     submit("a");
     assertEquals(List.of(503), responseStatuses);
+    assertEquals(List.of(3), retryAfterSeconds, "for a silence of 2.5 s");
     assertEquals(
         true, nowMillis - startMillis < 300, "rejected after " + (nowMillis - startMillis) + " ms");
   }
