The next scheduler continues a wave of maintenance

Cause: the progress of a wave was kept only in memory. Change: the VMs that are done, and the start of the wave, are kept in a row that the next scheduler reads.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -63,10 +63,33 @@
     private boolean runningReported;
     private boolean completedReported;
 
-    WaveProgress(Wave wave, long firstSeenMillis) {
+    /** When a scheduler first saw the wave, wall-clock ms. */
+    private final long startedWallMillis;
+
+    private WaveProgress(Wave wave, long firstSeenMillis, long startedWallMillis) {
       this.wave = wave;
       this.vms = ImmutableSet.copyOf(wave.vms());
       this.firstSeenMillis = firstSeenMillis;
+      this.startedWallMillis = startedWallMillis;
+    }
+
+    static WaveProgress start(Wave wave, long nowMillis, long wallMillis) {
+      return new WaveProgress(wave, nowMillis, wallMillis);
+    }
+
+    /** Returns the progress of a wave that an earlier scheduler has begun. */
+    static WaveProgress resume(
+        Wave wave, WaveProgressRows.Progress stored, long nowMillis, long wallMillis) {
+      long elapsedMillis = Math.max(0, wallMillis - stored.startedMillis());
+      WaveProgress progress =
+          new WaveProgress(wave, nowMillis - elapsedMillis, stored.startedMillis());
+      progress.handledVms.addAll(stored.handledVms());
+      progress.runningReported = progress.remainingVms().isEmpty();
+      return progress;
+    }
+
+    WaveProgressRows.Progress toRow() {
+      return new WaveProgressRows.Progress(startedWallMillis, ImmutableSet.copyOf(handledVms));
     }
 
     List<String> remainingVms() {
@@ -86,6 +109,11 @@
   private final VmCommandLog vmCommandLog;
   private final Actions actions;
 
+  private final WaveProgressRows progressRows;
+
+  /** The requested waves, by their number. */
+  private final Map<Long, Wave> requestedWaves = new LinkedHashMap<>();
+
   private final Map<Long, WaveProgress> progressByWave = new LinkedHashMap<>();
   private final Map<String, Long> retryAtMillis = new HashMap<>();
   private boolean commandPending;
@@ -105,6 +133,7 @@
       WorkerRegistry workers,
       VmInventory vmInventory,
       VmCommandLog vmCommandLog,
+      WaveProgressRows progressRows,
       Actions actions) {
     this.vmClient = vmClient;
     this.clock = clock;
@@ -114,6 +143,7 @@
     this.workers = workers;
     this.vmInventory = vmInventory;
     this.vmCommandLog = vmCommandLog;
+    this.progressRows = progressRows;
     this.actions = actions;
   }
 
@@ -122,7 +152,9 @@
     generation++;
     commandPending = false;
     retryAtMillis.clear();
+    requestedWaves.clear();
     progressByWave.clear();
+    progressRows.reset();
   }
 
   /** Sets when long-running tasks may first be stopped; see {@link Availability}. */
@@ -131,26 +163,47 @@
   }
 
   /** Adds the requested waves that have not been added before. */
-  void addWaves(Iterable<Wave> requested, long nowMillis) {
-    for (Wave wave : requested) {
-      progressByWave.computeIfAbsent(
-          wave.number(),
-          number -> {
-            log.log(
-                "wave.seen",
-                "wave",
-                number,
-                "machines",
-                wave.vms().size(),
-                "maxDown",
-                wave.maxDown(),
-                "seconds",
-                wave.durationSeconds());
-            return new WaveProgress(wave, nowMillis);
-          });
+  void addWaves(Iterable<Wave> requested) {
+    requested.forEach(wave -> requestedWaves.putIfAbsent(wave.number(), wave));
+  }
+
+  /** Starts or resumes the requested waves, once the progress under earlier schedulers is read. */
+  private void startRequestedWaves(long nowMillis) {
+    if (progressRows.isLoaded() && progressByWave.size() < requestedWaves.size()) {
+      requestedWaves.forEach(
+          (number, wave) ->
+              progressByWave.computeIfAbsent(number, added -> startOrResume(wave, nowMillis)));
     }
   }
 
+  private WaveProgress startOrResume(Wave wave, long nowMillis) {
+    long wallMillis = clock.wallMillis();
+    WaveProgress progress =
+        progressRows
+            .find(wave.number())
+            .map(stored -> WaveProgress.resume(wave, stored, nowMillis, wallMillis))
+            .orElseGet(() -> WaveProgress.start(wave, nowMillis, wallMillis));
+    progressRows.record(wave.number(), progress.toRow());
+    log.log(
+        "wave.seen",
+        "wave",
+        wave.number(),
+        "machines",
+        wave.vms().size(),
+        "remaining",
+        progress.remainingVms().size(),
+        "maxDown",
+        wave.maxDown(),
+        "seconds",
+        wave.durationSeconds());
+    return progress;
+  }
+
+  private void recordHandled(WaveProgress progress, String vm) {
+    progress.handledVms.add(vm);
+    progressRows.record(progress.wave.number(), progress.toRow());
+  }
+
   /** Returns whether a requested wave contains a VM and may still have to take it down. */
   boolean isDueForMaintenance(String vm) {
     return progressByWave.values().stream()
@@ -164,6 +217,8 @@
    * @param isCapacityScarce whether a pool waits for VMs; see {@link WavePace#downAtOnce}
    */
   void advanceWaves(Backlog backlog, boolean isCapacityScarce, long nowMillis) {
+    progressRows.readOrWriteIfDue(nowMillis);
+    startRequestedWaves(nowMillis);
     boolean hasUncompletedWave =
         progressByWave.values().stream().anyMatch(progress -> !progress.completedReported);
     if (!hasUncompletedWave || !lease.isValid()) {
@@ -189,7 +244,7 @@
         vm -> {
           boolean isAbsent = vmInventory.findVm(vm).isEmpty();
           if (isAbsent) {
-            progress.handledVms.add(vm);
+            recordHandled(progress, vm);
             log.log("wave.machine_left", "wave", progress.wave.number(), "machine", vm);
           }
           return isAbsent;
@@ -378,7 +433,7 @@
         response.isLeft() && response.getLeft() == CallFailure.OUTCOME_UNKNOWN;
     boolean isAccepted = response.isRight() && response.get() == VmReply.ACCEPTED;
     if (isAccepted) {
-      progress.handledVms.add(vm);
+      recordHandled(progress, vm);
       worker.ifPresent(actions::onWorkerEnded);
       return;
     }
@@ -391,7 +446,7 @@
     if (response.isRight() && response.get() == VmReply.FENCED) {
       actions.onFenced();
     } else if (response.isRight() && response.get() == VmReply.NOT_IN_WAVE) {
-      progress.handledVms.add(vm);
+      recordHandled(progress, vm);
       worker.ifPresent(found -> found.cordonReason = "");
     }
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -127,7 +127,16 @@
     MaintenanceActions actions = new MaintenanceActions();
     this.maintenance =
         new MaintenanceController(
-            vmClient, clock, log, lease, settings, workers, vmInventory, commandLog, actions);
+            vmClient,
+            clock,
+            log,
+            lease,
+            settings,
+            workers,
+            vmInventory,
+            commandLog,
+            new WaveProgressRows(tracked, clock, log, lease),
+            actions);
     PoolDemand poolDemand = new PoolDemand(demandRate);
     this.vmMover =
         new VmMover(
@@ -188,7 +197,7 @@
   public void onWaves(ImmutableList<Wave> requested) {
     waves = requested;
     if (jobsRestored) {
-      maintenance.addWaves(waves, clock.monotonicMillis());
+      maintenance.addWaves(waves);
     }
   }
 
@@ -268,7 +277,7 @@
     jobs.restore(earlyRows);
     earlyRows = ImmutableList.of();
     maintenance.onJobsRestored(clock.monotonicMillis());
-    maintenance.addWaves(waves, clock.monotonicMillis());
+    maintenance.addWaves(waves);
     log.log(
         "scheduler.active",
         "epoch",
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
@@ -40,6 +40,7 @@
   private final int movesPerSecond;
   private final Map<String, FakeVm> vms = new LinkedHashMap<>();
   private final Deque<Long> recentMoveMillis = new ArrayDeque<>();
+  private final Map<String, Integer> maintenanceCountByVm = new LinkedHashMap<>();
   private long highestFencingToken;
 
   /**
@@ -109,8 +110,19 @@
       String vm, long wave, Authority authority, Consumer<Either<CallFailure, VmReply>> callback) {
     respond(
         callback,
-        () ->
-            takeDown(vm, VmState.IN_MAINTENANCE, vms.get(vm).pool, MAINTENANCE_MILLIS, authority));
+        () -> {
+          Either<CallFailure, VmReply> reply =
+              takeDown(vm, VmState.IN_MAINTENANCE, vms.get(vm).pool, MAINTENANCE_MILLIS, authority);
+          if (reply.equals(Either.right(VmReply.ACCEPTED))) {
+            maintenanceCountByVm.merge(vm, 1, Integer::sum);
+          }
+          return reply;
+        });
+  }
+
+  /** Returns how often each VM was taken down for maintenance. */
+  Map<String, Integer> maintenanceCountByVm() {
+    return maintenanceCountByVm;
   }
 
   /** Ends the worker of a VM; after {@code millis} ms the VM is up again, in the given pool. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -172,6 +172,11 @@
         .filter(worker -> !worker.crashed && poolByWorkerId.get(worker.id).equals(pool));
   }
 
+  /** Returns how often each VM was taken down for maintenance. */
+  public Map<String, Integer> maintenanceCountByVm() {
+    return vmPlatform.orElseThrow().maintenanceCountByVm();
+  }
+
   /** Returns how many workers run in a pool. */
   public long workerCount(String pool) {
     return workersIn(pool).count();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -13,6 +13,7 @@
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.TaskId;
 import org.sassafraslink.api.fleet.VmClient;
+import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.api.fleet.WorkerClient;
 import org.sassafraslink.api.fleet.WorkerEntry;
 import org.sassafraslink.api.fleet.WorkerReport;
@@ -180,6 +181,11 @@
     wrapCallback(ignored -> scheduler.onJobAnnounced(jobId)).accept(null);
   }
 
+  /** Passes on that the operator has requested a wave of maintenance. */
+  public void requestWave(Wave wave) {
+    wrapCallback(ignored -> scheduler.onWaves(ImmutableList.of(wave))).accept(null);
+  }
+
   public void pause() {
     paused = true;
   }
