--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -1,8 +1,6 @@
 package org.sassafraslink.scheduler;
 
-import com.google.common.collect.ImmutableSet;
 import io.vavr.control.Either;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -48,57 +46,6 @@
     void writeWaveStatus(long wave, boolean completed);
   }
 
-  /** The progress of one wave under this scheduler. */
-  private static final class WaveProgress {
-    private final Wave wave;
-    private final ImmutableSet<String> vms;
-    private final long firstSeenMillis; // monotonic
-
-    /** VMs whose command was accepted, that are not in the wave, or that are not listed. */
-    private final Set<String> handledVms = new HashSet<>();
-
-    /** VMs that are or may be down for this wave, with the time of the command, monotonic ms. */
-    private final Map<String, Long> downSinceMillis = new HashMap<>();
-
-    private boolean runningReported;
-    private boolean completedReported;
-
-    /** When a scheduler first saw the wave, wall-clock ms. */
-    private final long startedWallMillis;
-
-    private WaveProgress(Wave wave, long firstSeenMillis, long startedWallMillis) {
-      this.wave = wave;
-      this.vms = ImmutableSet.copyOf(wave.vms());
-      this.firstSeenMillis = firstSeenMillis;
-      this.startedWallMillis = startedWallMillis;
-    }
-
-    static WaveProgress start(Wave wave, long nowMillis, long wallMillis) {
-      return new WaveProgress(wave, nowMillis, wallMillis);
-    }
-
-    /** Returns the progress of a wave that an earlier scheduler has begun. */
-    static WaveProgress resume(
-        Wave wave, WaveProgressRows.Progress stored, long nowMillis, long wallMillis) {
-      long elapsedMillis = Math.max(0, wallMillis - stored.startedMillis());
-      WaveProgress progress =
-          new WaveProgress(wave, nowMillis - elapsedMillis, stored.startedMillis());
-      progress.handledVms.addAll(stored.handledVms());
-      progress.runningReported = progress.remainingVms().isEmpty();
-      return progress;
-    }
-
-    WaveProgressRows.Progress toRow() {
-      return new WaveProgressRows.Progress(startedWallMillis, ImmutableSet.copyOf(handledVms));
-    }
-
-    List<String> remainingVms() {
-      List<String> result = new ArrayList<>(wave.vms());
-      result.removeAll(handledVms);
-      return result;
-    }
-  }
-
   private final VmClient vmClient;
   private final FleetClock clock;
   private final EventLog log;
