Retry-After grows only while no other entry VM reaches the store

Cause: a VM that alone is cut off from the store would have told its callers to wait for up to 5 s, although their next attempt reaches another VM. Change: while the lease's holder is connected and has not given the lease up, the delay is 1 s. Result: LeaseHolderConnectionTest.holderIsActiveFromConnectionToRelease.

--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -104,11 +104,12 @@
             timer,
             config -> schedulerThread.execute(() -> scheduler.onConfig(config)),
             waves -> schedulerThread.execute(() -> scheduler.onWaves(waves)));
+    StoreHealth storeHealth = new WatchedStoreHealth();
     SubmissionWriter submissionWriter =
         SubmissionWriter.create(
-            store, clock, log, timer, new WatchedStoreHealth(), leaseHolderConnection::announceJob);
+            store, clock, log, timer, storeHealth, leaseHolderConnection::announceJob);
     JobRequestHandler requestHandler =
-        JobRequestHandler.create(configWatcher, store, submissionWriter, clock, log);
+        JobRequestHandler.create(configWatcher, store, submissionWriter, storeHealth, clock, log);
     callerServer =
         CallerServer.create(requestHandler::handleRequest, clock, MAX_CALLER_CONNECTIONS);
     metrics.registerGauge(
@@ -165,7 +166,10 @@
     return java.lang.management.ManagementFactory.getRuntimeMXBean().getUptime();
   }
 
-  /** Judges the store by the reads of the configuration and by all answers. */
+  /**
+   * Judges the store by the reads of the configuration, by all answers, and by whether the holder
+   * of the scheduling lease has kept it, which it does not if the store is silent for it too.
+   */
   private final class WatchedStoreHealth implements StoreHealth {
     @Override
     public boolean isOutageLikely() {
@@ -173,8 +177,10 @@
     }
 
     @Override
-    public long silenceMillis() {
-      return configWatcher.storeSilenceMillis(clock.monotonicMillis());
+    public long outageMillis() {
+      return leaseHolderConnection.isHolderActive()
+          ? 0
+          : configWatcher.storeSilenceMillis(clock.monotonicMillis());
     }
   }
 
--- a/entry/src/main/java/org/sassafraslink/entry/process/LeaseHolderConnection.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/LeaseHolderConnection.java
@@ -61,6 +61,10 @@
   private long watchGeneration;
 
   private Channel holderChannel;
+
+  /** Whether the holder is connected and has not announced that it gives the lease up. */
+  private volatile boolean holderActive;
+
   private Runnable onHolderGone = () -> {};
 
   /** The connections of processes that watch this one. */
@@ -110,6 +114,7 @@
     eventLoop.execute(
         () -> {
           watchGeneration++;
+          holderActive = false;
           onHolderGone = onGone;
           if (holderChannel != null) {
             holderChannel.close();
@@ -135,6 +140,14 @@
                     channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {RELEASED_MESSAGE}))));
   }
 
+  /**
+   * Returns whether another process probably holds the lease, and so reaches the store, even if
+   * this one does not. Thread-safe.
+   */
+  boolean isHolderActive() {
+    return holderActive;
+  }
+
   /** Announces to the lease's holder, which may be this process, that a job was accepted. */
   void announceJob(String jobId) {
     schedulerExecutor.execute(() -> onJobAnnounced.accept(jobId));
@@ -161,9 +174,16 @@
             connecting.channel().close();
           } else if (future.isSuccess()) {
             holderChannel = connecting.channel();
+            holderActive = true;
             holderChannel
                 .closeFuture()
-                .addListener(closed -> connectToHolder(address, onGone, expectedGeneration));
+                .addListener(
+                    closed -> {
+                      if (expectedGeneration == watchGeneration) {
+                        holderActive = false;
+                      }
+                      connectToHolder(address, onGone, expectedGeneration);
+                    });
           } else if (future.cause() instanceof ConnectException && isRefusal(future.cause())) {
             schedulerExecutor.execute(onGone);
           } else {
@@ -216,6 +236,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       ReferenceCountUtil.release(message);
       if (ctx.channel() == holderChannel) {
+        holderActive = false;
         schedulerExecutor.execute(onHolderGone);
       }
     }
--- a/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
@@ -47,6 +47,7 @@
   private final ConfigWatcher configWatcher;
   private final RowStore store;
   private final SubmissionWriter submissionWriter;
+  private final StoreHealth storeHealth;
   private final FleetClock clock;
   private final EventLog log;
 
@@ -60,11 +61,13 @@
       ConfigWatcher configWatcher,
       RowStore store,
       SubmissionWriter submissionWriter,
+      StoreHealth storeHealth,
       FleetClock clock,
       EventLog log) {
     this.configWatcher = configWatcher;
     this.store = store;
     this.submissionWriter = submissionWriter;
+    this.storeHealth = storeHealth;
     this.clock = clock;
     this.log = log;
   }
@@ -74,9 +77,10 @@
       ConfigWatcher configWatcher,
       RowStore store,
       SubmissionWriter submissionWriter,
+      StoreHealth storeHealth,
       FleetClock clock,
       EventLog log) {
-    return new JobRequestHandler(configWatcher, store, submissionWriter, clock, log);
+    return new JobRequestHandler(configWatcher, store, submissionWriter, storeHealth, clock, log);
   }
 
   /**
@@ -376,7 +380,7 @@
   }
 
   private CallerResponse retryLater(FailureType type, String detail) {
-    long silenceMillis = configWatcher.storeSilenceMillis(clock.monotonicMillis());
-    return CallerResponse.failed(Failure.of(type, detail), RetryDelay.seconds(silenceMillis));
+    return CallerResponse.failed(
+        Failure.of(type, detail), RetryDelay.seconds(storeHealth.outageMillis()));
   }
 }
--- a/entry/src/main/java/org/sassafraslink/entry/request/RetryDelay.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/RetryDelay.java
@@ -18,9 +18,9 @@
 
   private RetryDelay() {}
 
-  /** Returns the delay in seconds, given for how long the store has not responded. */
-  static int seconds(long silenceMillis) {
-    long silenceSeconds = (silenceMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
-    return (int) Math.max(MIN_SECONDS, Math.min(MAX_SECONDS, silenceSeconds));
+  /** Returns the delay in seconds, given for how long the store has not responded to anyone. */
+  static int seconds(long outageMillis) {
+    long outageSeconds = (outageMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+    return (int) Math.max(MIN_SECONDS, Math.min(MAX_SECONDS, outageSeconds));
   }
 }
--- a/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
@@ -354,7 +354,7 @@
   private CallerResponse notStoredResponse() {
     return CallerResponse.failed(
         Failure.of(FailureType.STORE_UNAVAILABLE, "The job was not stored."),
-        RetryDelay.seconds(storeHealth.silenceMillis()));
+        RetryDelay.seconds(storeHealth.outageMillis()));
   }
 
   private void respond(Submission submission, CallerResponse response, String outcome) {
--- a/entry/src/test/java/org/sassafraslink/entry/process/LeaseHolderConnectionTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/process/LeaseHolderConnectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -90,6 +91,21 @@
     assertNull(announcedToHolder.poll(ABSENCE_MILLIS, TimeUnit.MILLISECONDS));
   }
 
+  /** Guards against callers that are told to wait long although another entry VM can serve them. */
+  @Test
+  void holderIsActiveFromConnectionToRelease() throws InterruptedException {
+    assertTrue(waitUntilHolderActive(true), "active when connected");
+    holder.announceRelease();
+    assertTrue(waitUntilHolderActive(false), "not active after the release");
+  }
+
+  private boolean waitUntilHolderActive(boolean expected) throws InterruptedException {
+    for (int i = 0; i < 100 && watcher.isHolderActive() != expected; i++) {
+      Thread.sleep(ABSENCE_MILLIS);
+    }
+    return watcher.isHolderActive() == expected;
+  }
+
   @Test
   void releaseIsAnnouncedToWatcher() throws InterruptedException {
     String received = null;
--- a/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
@@ -105,7 +105,7 @@
     }
 
     @Override
-    public long silenceMillis() {
+    public long outageMillis() {
       return 0;
     }
   }
@@ -135,7 +135,9 @@
             (task, millis) -> task.run(),
             new HealthyStore(),
             id -> {});
-    handler = JobRequestHandler.create(watcher, store, writer, new TestClock(), EventLog.silent());
+    handler =
+        JobRequestHandler.create(
+            watcher, store, writer, new HealthyStore(), new TestClock(), EventLog.silent());
     reads.clear();
   }
 
--- a/entry/src/test/java/org/sassafraslink/entry/request/RetryDelayTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/RetryDelayTest.java
@@ -14,8 +14,8 @@
 
   @ParameterizedTest
   @CsvSource({"0, 1", "1000, 1", "1001, 2", "3500, 4", "60000, 5"})
-  void delayFollowsSilence(long silenceMillis, int expectedSeconds) {
-    assertEquals(expectedSeconds, RetryDelay.seconds(silenceMillis));
+  void delayFollowsOutage(long outageMillis, int expectedSeconds) {
+    assertEquals(expectedSeconds, RetryDelay.seconds(outageMillis));
   }
 
   /** Guards against callers who use up all their attempts in an outage of up to 8 s. */
--- a/entry/src/test/java/org/sassafraslink/entry/request/SubmissionWriterTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/SubmissionWriterTest.java
@@ -88,7 +88,7 @@
     }
 
     @Override
-    public long silenceMillis() {
+    public long outageMillis() {
       return 2_500;
     }
   }
@@ -167,7 +167,7 @@
     long startMillis = nowMillis;
     submit("a");
     assertEquals(List.of(503), responseStatuses);
-    assertEquals(List.of(3), retryAfterSeconds, "for a silence of 2.5 s");
+    assertEquals(List.of(3), retryAfterSeconds, "for an outage of 2.5 s");
     assertEquals(
         true, nowMillis - startMillis < 300, "rejected after " + (nowMillis - startMillis) + " ms");
   }
