--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -1,6 +1,7 @@
 package org.sassafraslink.scheduler;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -381,7 +382,13 @@
 
   /** Returns the empty workers, those for which {@code isLast} is true after the others. */
   private List<Worker> emptyWorkersBy(Predicate<Worker> isLast) {
-    return emptyWorkers.all().stream().sorted(Comparator.comparing(isLast::test)).toList();
+    List<Worker> first = new ArrayList<>();
+    List<Worker> last = new ArrayList<>();
+    for (Worker worker : emptyWorkers.all()) {
+      (isLast.test(worker) ? last : first).add(worker);
+    }
+    first.addAll(last);
+    return first;
   }
 
   private void powerOffIdleVms(
