--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -2,15 +2,18 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
@@ -21,8 +24,11 @@
 final class Deployment implements AutoCloseable {
   static final String HOST = "pule25.example";
   static final String SERVICE = "huvo11a";
-  private static final int MINIONS_PER_RACK = 4;
   static final String KEY = "sjnbanfqasnmgkcuyj8p";
+  private static final int MINIONS_PER_RACK = 4;
+  private static final int LOWEST_PORT = 15_000;
+  private static final int HIGHEST_PORT = 32_000;
+  private static final Set<Integer> RETURNED_PORTS = new HashSet<>();
 
   /** Settings of a daemon, with the bounds of the site mwakilema-ops. */
   private static final String SETTINGS =
@@ -109,9 +115,21 @@
     startStandIn("platform", "Platform", platform, record.toString());
   }
 
-  static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return "127.0.0.1:" + socket.getLocalPort();
+  /**
+   * Returns an address with a port that is free, and that no other call has returned. It is below
+   * the ports that systems usually give to outgoing connections, which could take it meanwhile.
+   */
+  static synchronized String freeAddress() throws IOException {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+      try (ServerSocket socket =
+          new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        if (RETURNED_PORTS.add(port)) {
+          return "127.0.0.1:" + port;
+        }
+      } catch (BindException e) {
+        // In use; the next port is tried.
+      }
     }
   }
 
