--- a/review/standins/Minion.java
+++ b/review/standins/Minion.java
@@ -110,6 +110,8 @@
 
   public static void main(String[] args) throws Exception {
     Minion minion = new Minion(args);
+    // Prepares the client, so that the first heartbeat follows at once when the minion listens.
+    Http.call("GET", "http://" + minion.platform + "/machines", null, Map.of());
     Http.serve(minion.address, minion::handle);
     Http.record(minion.record, minion.id + " up born " + minion.born);
     long nextHeartbeat = 0;
