--- a/api/src/main/java/org/sassafraslink/api/fleet/WorkerEntry.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/WorkerEntry.java
@@ -26,4 +26,17 @@
     String rack,
     ImmutableList<String> labels,
     Resources capacity,
-    boolean draining) {}
+    boolean draining) {
+
+  /** Returns this entry for another incarnation. */
+  public WorkerEntry withIncarnation(long otherIncarnation) {
+    return new WorkerEntry(
+        id, otherIncarnation, pool, address, zone, vm, rack, labels, capacity, draining);
+  }
+
+  /** Returns this entry with another address. */
+  public WorkerEntry withAddress(InetSocketAddress otherAddress) {
+    return new WorkerEntry(
+        id, incarnation, pool, otherAddress, zone, vm, rack, labels, capacity, draining);
+  }
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -393,13 +393,14 @@
       if (!worker.hasReported) {
         jobs.requestPlacement();
       }
+      workers.confirmIncarnation(worker, report.incarnation(), sentMillis);
       workerReportReconciler.applyReport(worker, report, sentMillis);
       worker.advanceLastCommittedEnd();
     }
 
     @Override
-    public void onRestart(Worker worker, long incarnation) {
-      workers.registerRestart(worker, incarnation);
+    public void onOtherIncarnation(Worker worker, long incarnation, long sentMillis) {
+      workers.confirmIncarnation(worker, incarnation, sentMillis);
     }
 
     @Override
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -35,6 +35,12 @@
   /** Whether it has responded with a worker report under this scheduler's fencing token. */
   boolean hasReported;
 
+  /** Whether a response has shown that the worker is in this incarnation. */
+  boolean confirmed;
+
+  /** When it was last registered under its id, monotonic ms. */
+  long registeredMillis;
+
   /** Whether this incarnation has ended. */
   boolean ended;
 
@@ -89,6 +95,20 @@
   /** When all leases that earlier schedulers granted have expired, monotonic ms. */
   private long predecessorLeaseEndMillis;
 
+  private ReplacementClaim replacementClaim = ReplacementClaim.NONE;
+
+  /** When the last claim of a replacement was made, monotonic ms. */
+  private long replacementClaimedMillis;
+
+  /** Whether the entry of another worker claims that this incarnation has been replaced. */
+  private enum ReplacementClaim {
+    NONE,
+    /** Claimed, and this worker has not been asked since. */
+    TO_BE_CHECKED,
+    /** Claimed, and no response to a later request has shown yet whether it is true. */
+    BEING_CHECKED
+  }
+
   /** A change of a job that must be committed before the end that caused it is acknowledged. */
   private record PendingCommit(Job job, long changeNumber) {
     boolean isCommitted() {
@@ -107,6 +127,44 @@
     this.predecessorLeaseEndMillis = predecessorLeaseEndMillis;
   }
 
+  /**
+   * Applies a newer entry of this incarnation. Requests still go to the address at which the
+   * incarnation has responded, which it keeps until it ends.
+   */
+  void applyEntry(WorkerEntry newer) {
+    entry = confirmed ? newer.withAddress(entry.address()) : newer;
+  }
+
+  /**
+   * Records that the entry of another worker has the VM or the address of this one. Anyone may have
+   * written that entry, so the worker is asked, and runs its tasks until its own response, or the
+   * lack of one until its lease has expired, shows that it has ended.
+   */
+  void claimReplacement(long nowMillis) {
+    replacementClaim = ReplacementClaim.TO_BE_CHECKED;
+    replacementClaimedMillis = nowMillis;
+  }
+
+  boolean isReplacementClaimed() {
+    return replacementClaim != ReplacementClaim.NONE;
+  }
+
+  /** Returns whether a request must be sent at once to check a claim, and records it as sent. */
+  boolean beginReplacementCheck() {
+    boolean isDue = replacementClaim == ReplacementClaim.TO_BE_CHECKED;
+    if (isDue) {
+      replacementClaim = ReplacementClaim.BEING_CHECKED;
+    }
+    return isDue;
+  }
+
+  /** Drops a claim that a response of this incarnation to a later request has disproved. */
+  void dropDisprovedClaim(long requestSentMillis) {
+    if (requestSentMillis >= replacementClaimedMillis) {
+      replacementClaim = ReplacementClaim.NONE;
+    }
+  }
+
   /** Records a response with the worker's clock, which also ends a series of failed requests. */
   void recordResponse(long workerClockMillis, long nowMillis) {
     reportedClockMillis = Math.max(workerClockMillis, reportedClockMillis);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerIndex.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerIndex.java
@@ -4,9 +4,8 @@
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableSet;
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.StepSpec;
@@ -29,20 +28,22 @@
   private final ImmutableList<Worker> all;
   private final ImmutableSet<Kind> kinds;
   private final ImmutableListMultimap<String, Worker> listedByPool;
-  private final Map<String, Worker> listedByVm = new HashMap<>();
+  private final ImmutableListMultimap<String, Worker> listedByVm;
 
-  private WorkerIndex(Collection<Worker> registered, Collection<Worker> jobRowWorkers) {
-    this.all = ImmutableList.<Worker>builder().addAll(registered).addAll(jobRowWorkers).build();
+  private WorkerIndex(Collection<Worker> registered, Collection<Worker> detached) {
+    this.all = ImmutableList.<Worker>builder().addAll(registered).addAll(detached).build();
     ImmutableListMultimap.Builder<String, Worker> byPool = ImmutableListMultimap.builder();
+    ImmutableListMultimap.Builder<String, Worker> byVm = ImmutableListMultimap.builder();
     for (Worker worker : registered) {
       if (worker.listed && !worker.ended) {
         byPool.put(worker.entry.pool(), worker);
       }
       if (worker.listed) {
-        listedByVm.putIfAbsent(worker.entry.vm(), worker);
+        byVm.put(worker.entry.vm(), worker);
       }
     }
     this.listedByPool = byPool.build();
+    this.listedByVm = byVm.build();
     this.kinds =
         registered.stream()
             .map(worker -> new Kind(worker.entry.capacity(), worker.entry.labels()))
@@ -53,10 +54,11 @@
    * Creates an index.
    *
    * @param registered the workers that are listed, or that were listed and may still run tasks
-   * @param jobRowWorkers workers that only the rows of jobs name, which have no pool and no VM
+   * @param detached incarnations that may still run tasks, whose id is listed with another one or
+   *     not at all
    */
-  static WorkerIndex of(Collection<Worker> registered, Collection<Worker> jobRowWorkers) {
-    return new WorkerIndex(registered, jobRowWorkers);
+  static WorkerIndex of(Collection<Worker> registered, Collection<Worker> detached) {
+    return new WorkerIndex(registered, detached);
   }
 
   /** Returns all workers. */
@@ -73,7 +75,14 @@
     return listedByPool.get(pool);
   }
 
+  /**
+   * Returns the listed worker on a VM. If several entries name the VM, this is the latest of those
+   * that have responded, since any entry may be that of another writer.
+   */
   Optional<Worker> listedOnVm(String vm) {
-    return Optional.ofNullable(listedByVm.get(vm));
+    return listedByVm.get(vm).stream()
+        .max(
+            Comparator.comparing((Worker worker) -> worker.confirmed)
+                .thenComparingLong(worker -> worker.entry.incarnation()));
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -53,8 +53,12 @@
      */
     void onReport(Worker worker, WorkerReport report, long sentMillis);
 
-    /** Called when a later incarnation with the worker's id has responded. */
-    void onRestart(Worker worker, long incarnation);
+    /**
+     * Called when another incarnation with the worker's id has responded.
+     *
+     * @param sentMillis when the request was sent, monotonic ms
+     */
+    void onOtherIncarnation(Worker worker, long incarnation, long sentMillis);
 
     /** Called when another incarnation has responded at the worker's address. */
     void onWrongIncarnation(Worker worker);
@@ -110,6 +114,11 @@
       listener.onLeaseExpired(worker);
     }
     boolean isUnreachable = worker.ended || worker.entry.address().getPort() == 0;
+    if (!isUnreachable && worker.beginReplacementCheck()) {
+      // A long poll that is pending could delay the response.
+      sendReportRequest(worker, 0, nowMillis);
+      return;
+    }
     if (worker.reportRequestPending
         || nowMillis < worker.nextReportRequestMillis
         || isUnreachable) {
@@ -121,7 +130,8 @@
     }
     boolean hasTasks = !worker.isEmpty();
     boolean hasUnacknowledgedEnds = worker.lastCommittedEnd > worker.lastAcknowledgedEnd;
-    if (hasTasks || hasUnacknowledgedEnds || (!worker.hasReported && worker.listed)) {
+    boolean hasToRespond = worker.listed && (!worker.hasReported || worker.isReplacementClaimed());
+    if (hasTasks || hasUnacknowledgedEnds || hasToRespond) {
       sendReportRequest(
           worker,
           hasTasks && worker.hasReported && worker.consecutiveCallFailures == 0
@@ -174,7 +184,8 @@
     }
     WorkerReport report = response.get();
     if (report.incarnation() != worker.entry.incarnation()) {
-      listener.onRestart(worker, report.incarnation());
+      worker.nextReportRequestMillis = now + RETRY_DELAY_MILLIS;
+      listener.onOtherIncarnation(worker, report.incarnation(), sentMillis);
       return;
     }
     if (worker.consecutiveCallFailures > 0) {
@@ -186,6 +197,7 @@
           worker.consecutiveCallFailures);
     }
     worker.recordResponse(report.clockMillis(), now);
+    worker.dropDisprovedClaim(sentMillis);
     worker.lastAcknowledgedEnd = Math.max(worker.lastAcknowledgedEnd, acknowledgedEnd);
     listener.onReport(worker, report, sentMillis);
     worker.hasReported = true;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -19,16 +19,19 @@
 import org.sassafraslink.api.log.EventLog;
 
 /**
- * Holds the workers that may run tasks: those in the platform's worker list, and earlier
- * incarnations whose tasks may still run.
+ * Holds the workers that may run tasks: those in the platform's worker list, and incarnations that
+ * are not listed and whose tasks may still run.
  *
- * <p>An incarnation has ended when a later one has its id, its VM or its address. Absence from the
- * list does not prove this: a worker that cannot reach the store keeps running.
+ * <p>No entry of the list ends an incarnation, since other software may have written the entry. An
+ * incarnation has ended when its worker has responded in a later one, when another worker has
+ * responded at its address, or when a command to its VM was accepted. Until one of these is known,
+ * it keeps its tasks; they are released when its lease has expired.
  */
 final class WorkerRegistry {
   /** Address of a worker known only from a job's row; its port 0 marks it as unreachable. */
   private static final InetSocketAddress NO_ADDRESS = new InetSocketAddress(0);
 
+  private final FleetClock clock;
   private final EventLog log;
   private final RowFormats formats;
   private final WorkerListFeed listFeed;
@@ -37,8 +40,11 @@
   /** Workers that are listed, or that were listed and may still run tasks. */
   private final Map<String, Worker> workersById = new HashMap<>();
 
-  /** Workers that the rows of jobs name and that have not been listed. */
-  private final List<Worker> jobRowWorkers = new ArrayList<>();
+  /**
+   * Incarnations that may still run tasks and are not the one registered under their id: those that
+   * only the rows of jobs name, and those whose id is listed with another incarnation.
+   */
+  private final List<Worker> detachedWorkers = new ArrayList<>();
 
   /** Ids of list entries that could not be read and have been logged. */
   private final Set<String> unreadableWorkerIds = new HashSet<>();
@@ -50,6 +56,7 @@
 
   WorkerRegistry(
       RowStore store, FleetClock clock, EventLog log, RowFormats formats, Consumer<Worker> onEnd) {
+    this.clock = clock;
     this.log = log;
     this.formats = formats;
     this.listFeed =
@@ -80,7 +87,7 @@
   void reset(long leaseEndMillis) {
     listFeed.reset();
     workersById.clear();
-    jobRowWorkers.clear();
+    detachedWorkers.clear();
     index = null;
     predecessorLeaseEndMillis = leaseEndMillis;
   }
@@ -110,7 +117,7 @@
 
   private WorkerIndex index() {
     if (index == null) {
-      index = WorkerIndex.of(workersById.values(), jobRowWorkers);
+      index = WorkerIndex.of(workersById.values(), detachedWorkers);
     }
     return index;
   }
@@ -130,7 +137,7 @@
     if (registered != null) {
       return registered;
     }
-    for (Worker worker : jobRowWorkers) {
+    for (Worker worker : detachedWorkers) {
       boolean isSame = worker.entry.id().equals(id) && worker.entry.incarnation() == incarnation;
       if (isSame) {
         return worker;
@@ -141,7 +148,9 @@
             id, incarnation, "", NO_ADDRESS, "", "", "", ImmutableList.of(), Resources.NONE, false);
     Worker worker = new Worker(entry, predecessorLeaseEndMillis);
     worker.listed = false;
-    jobRowWorkers.add(worker);
+    if (worker.confirmed || !worker.isEmpty()) {
+      detachedWorkers.add(worker);
+    }
     index = null;
     return worker;
   }
@@ -149,7 +158,7 @@
   /** Reads the list if that is due; see {@link WorkerListFeed#pollIfDue}. */
   void pollIfDue(long nowMillis, boolean isChangeOverdue) {
     boolean isAnyRemoved =
-        jobRowWorkers.removeIf(
+        detachedWorkers.removeIf(
             worker -> worker.isEmpty() && (worker.ended || worker.consecutiveCallFailures > 0));
     if (isAnyRemoved) {
       index = null;
@@ -192,25 +201,34 @@
     }
     unreadableWorkerIds.remove(id);
     Worker registered = workersById.get(id);
-    if (registered != null && registered.entry.incarnation() > entry.get().incarnation()) {
-      // A response has already shown the restart that this entry does not show yet.
+    if (registered != null && registered.entry.incarnation() == entry.get().incarnation()) {
+      applyEntry(registered, entry.get(), row.version());
       return;
     }
-    if (registered == null || registered.entry.incarnation() != entry.get().incarnation()) {
-      registerIncarnation(entry.get(), registered);
-    } else {
-      if (entry.get().draining() && !registered.entry.draining()) {
-        log.log("worker.draining", "worker", id, "version", row.version());
+    boolean isOutdated =
+        registered != null
+            && registered.confirmed
+            && registered.entry.incarnation() > entry.get().incarnation();
+    if (!isOutdated) {
+      if (registered != null) {
+        detach(registered);
       }
-      if (!registered.listed) {
-        log.log("worker.listed_again", "worker", id, "version", row.version());
-      }
-      registered.entry = entry.get();
-      registered.listed = true;
-      index = null;
+      register(entry.get());
     }
   }
 
+  private void applyEntry(Worker worker, WorkerEntry entry, long version) {
+    if (entry.draining() && !worker.entry.draining()) {
+      log.log("worker.draining", "worker", entry.id(), "version", version);
+    }
+    if (!worker.listed) {
+      log.log("worker.listed_again", "worker", entry.id(), "version", version);
+    }
+    worker.applyEntry(entry);
+    worker.listed = true;
+    index = null;
+  }
+
   /**
    * Decodes an entry. An entry whose decoding fails unexpectedly counts as unreadable, since it
    * must not hide the entries after it.
@@ -224,36 +242,16 @@
     }
   }
 
-  private void registerIncarnation(WorkerEntry entry, Worker previous) {
-    // Not through the index, which each registration of a full read would have to build again.
-    List<Worker> others = new ArrayList<>(workersById.values());
-    others.addAll(jobRowWorkers);
-    for (Worker other : others) {
-      boolean isReplaced =
-          other != previous
-              && ((!entry.vm().isEmpty() && other.entry.vm().equals(entry.vm()))
-                  || other.entry.address().equals(entry.address()));
-      if (isReplaced && other.entry.incarnation() < entry.incarnation()) {
-        log.log(
-            "worker.replaced",
-            "worker",
-            other.entry.id(),
-            "incarnation",
-            other.entry.incarnation(),
-            "by",
-            entry.id(),
-            "newIncarnation",
-            entry.incarnation());
-        endIncarnation(other);
-      }
-    }
+  /** Registers the incarnation that an entry shows, and has the workers asked that it replaces. */
+  private void register(WorkerEntry entry) {
     Worker worker =
-        markJobRowWorkerListed(entry).orElseGet(() -> new Worker(entry, predecessorLeaseEndMillis));
+        takeDetached(entry.id(), entry.incarnation())
+            .orElseGet(() -> new Worker(entry, predecessorLeaseEndMillis));
+    worker.applyEntry(entry);
+    worker.listed = true;
+    worker.registeredMillis = clock.monotonicMillis();
     workersById.put(entry.id(), worker);
     index = null;
-    if (previous != null) {
-      moveTasks(previous, worker);
-    }
     log.log(
         "worker.listed",
         "worker",
@@ -264,19 +262,113 @@
         entry.pool(),
         "machine",
         entry.vm(),
+        "address",
+        entry.address(),
         "rack",
         entry.rack(),
         "draining",
         entry.draining());
+    claimReplacements(worker);
+  }
+
+  private void claimReplacements(Worker worker) {
+    WorkerEntry entry = worker.entry;
+    // Not through the index, which each registration of a full read would have to build again.
+    List<Worker> others = new ArrayList<>(workersById.values());
+    others.addAll(detachedWorkers);
+    for (Worker other : others) {
+      boolean hasSameVm = !entry.vm().isEmpty() && other.entry.vm().equals(entry.vm());
+      boolean hasSameAddress = other.entry.address().equals(entry.address());
+      boolean isClaim =
+          !other.entry.id().equals(entry.id())
+              && (hasSameVm || hasSameAddress)
+              && other.entry.incarnation() < entry.incarnation();
+      if (isClaim) {
+        log.log(
+            "worker.replacement_claimed",
+            "worker",
+            other.entry.id(),
+            "incarnation",
+            other.entry.incarnation(),
+            "by",
+            entry.id(),
+            "newIncarnation",
+            entry.incarnation(),
+            "sameAddress",
+            hasSameAddress,
+            "tasks",
+            other.tasks().size());
+        other.claimReplacement(clock.monotonicMillis());
+      }
+    }
+  }
+
+  /**
+   * Applies that a worker has responded as an incarnation, and registers this incarnation if the
+   * list shows another one. The tasks of its earlier incarnations are moved to it.
+   *
+   * @param responding the incarnation to which the request was sent
+   * @param sentMillis when the request was sent, monotonic ms
+   */
+  void confirmIncarnation(Worker responding, long incarnation, long sentMillis) {
+    Worker registered = workersById.get(responding.entry.id());
+    if (registered == null) {
+      return;
+    }
+    Worker confirmed = registered;
+    if (registered.entry.incarnation() != incarnation) {
+      if (!isNewerThanRegistered(registered, incarnation, sentMillis)) {
+        return;
+      }
+      confirmed = registerConfirmed(responding, incarnation);
+      moveTasks(registered, confirmed);
+    }
+    confirmed.confirmed = true;
+    for (Worker other : List.copyOf(detachedWorkers)) {
+      boolean isEarlier =
+          other.entry.id().equals(confirmed.entry.id())
+              && other.entry.incarnation() < confirmed.entry.incarnation();
+      if (isEarlier) {
+        detachedWorkers.remove(other);
+        moveTasks(other, confirmed);
+      }
+    }
   }
 
   /**
-   * Moves all tasks to the next incarnation with the same id. Commands sent shortly before the
-   * restart may have reached the new incarnation, so its reports decide about these tasks.
+   * Returns whether a response says more about a worker than its registered incarnation. One that
+   * only an entry shows is disproved by a response to a later request.
+   */
+  private static boolean isNewerThanRegistered(
+      Worker registered, long incarnation, long sentMillis) {
+    return incarnation > registered.entry.incarnation()
+        || (!registered.confirmed && sentMillis >= registered.registeredMillis);
+  }
+
+  /** Registers an incarnation that has responded to a request to {@code responding}. */
+  private Worker registerConfirmed(Worker responding, long incarnation) {
+    WorkerEntry entry = responding.entry.withIncarnation(incarnation);
+    Worker worker =
+        takeDetached(entry.id(), incarnation)
+            .orElseGet(() -> new Worker(entry, predecessorLeaseEndMillis));
+    if (!worker.confirmed) {
+      worker.applyEntry(entry);
+    }
+    worker.listed = true;
+    worker.registeredMillis = clock.monotonicMillis();
+    workersById.put(entry.id(), worker);
+    index = null;
+    return worker;
+  }
+
+  /**
+   * Moves all tasks to another incarnation with the same id. Commands sent shortly before a restart
+   * may have reached the new incarnation, so its reports decide about these tasks.
    */
   private void moveTasks(Worker from, Worker to) {
+    boolean isRestart = from.entry.incarnation() < to.entry.incarnation();
     log.log(
-        "worker.restarted",
+        isRestart ? "worker.restarted" : "worker.entry_disproved",
         "worker",
         to.entry.id(),
         "incarnation",
@@ -294,41 +386,23 @@
     index = null;
   }
 
-  /** Registers an incarnation that responded to a request to an earlier one with the same id. */
-  void registerRestart(Worker worker, long incarnation) {
-    if (workersById.get(worker.entry.id()) != worker || incarnation <= worker.entry.incarnation()) {
-      return;
+  /** Keeps an incarnation, whose id is listed with another one, until it is known which runs. */
+  private void detach(Worker worker) {
+    worker.listed = false;
+    if (worker.confirmed || !worker.isEmpty()) {
+      detachedWorkers.add(worker);
     }
-    WorkerEntry current = worker.entry;
-    registerIncarnation(
-        new WorkerEntry(
-            current.id(),
-            incarnation,
-            current.pool(),
-            current.address(),
-            current.zone(),
-            current.vm(),
-            current.rack(),
-            current.labels(),
-            current.capacity(),
-            current.draining()),
-        worker);
   }
 
-  /** Returns this incarnation, now as listed, if it was known only from a job's row. */
-  private Optional<Worker> markJobRowWorkerListed(WorkerEntry entry) {
-    for (Worker worker : jobRowWorkers) {
-      boolean isSame =
-          worker.entry.id().equals(entry.id()) && worker.entry.incarnation() == entry.incarnation();
-      if (isSame && !worker.ended) {
-        jobRowWorkers.remove(worker);
-        worker.entry = entry;
-        worker.listed = true;
-        index = null;
-        return Optional.of(worker);
-      }
-    }
-    return Optional.empty();
+  /** Removes this incarnation from the detached ones, and returns it. */
+  private Optional<Worker> takeDetached(String id, long incarnation) {
+    Optional<Worker> found =
+        detachedWorkers.stream()
+            .filter(worker -> worker.entry.id().equals(id) && !worker.ended)
+            .filter(worker -> worker.entry.incarnation() == incarnation)
+            .findFirst();
+    found.ifPresent(detachedWorkers::remove);
+    return found;
   }
 
   private void markUnlisted(String id) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -41,6 +41,9 @@
   public static final Resources TEAM_LIMIT = new Resources(40_000, 0, 0);
   private static final String WORKER_TABLE = "workers";
 
+  /** Precedes the id of a worker in the name of the host on which it listens. */
+  private static final String HOST_PREFIX = "worker-";
+
   final SimLayout layout;
   public final SimClock clock = new SimClock();
   public final Random random;
@@ -157,7 +160,40 @@
             disabledMechanisms);
     workers.put(id, worker);
     poolByWorkerId.put(id, pool);
-    rowStore.putRow(WORKER_TABLE, "", id, lastIncarnation + " " + pool + " " + vm);
+    putWorkerEntry(id, lastIncarnation, pool, vm, id);
+  }
+
+  /**
+   * Writes an entry of the worker list, as workers and other software do.
+   *
+   * @param addressOwner the id of the worker whose address the entry has; a worker that does not
+   *     exist has an address at which nothing listens
+   */
+  public void putWorkerEntry(
+      String id, long incarnation, String pool, String vm, String addressOwner) {
+    rowStore.putRow(
+        WORKER_TABLE, "", id, String.join(" ", "" + incarnation, pool, vm, addressOwner));
+  }
+
+  /** Returns the value of a worker's entry, which {@link #rewriteWorkerEntry} writes again. */
+  public String workerEntry(String id) {
+    return rowStore.findRow(new RowKey(WORKER_TABLE, "", id)).value();
+  }
+
+  /** Writes an entry again, as a worker does with each of its heartbeats. */
+  public void rewriteWorkerEntry(String id, String value) {
+    rowStore.putRow(WORKER_TABLE, "", id, value);
+  }
+
+  /** Returns the incarnation of a worker. */
+  public long incarnation(String id) {
+    return workers.get(id).incarnation;
+  }
+
+  /** Returns the last worker that was started at the address of an entry, if any. */
+  Optional<FakeWorker> workerAt(InetSocketAddress address) {
+    return Optional.ofNullable(
+        workers.get(address.getHostString().substring(HOST_PREFIX.length())));
   }
 
   /** Ends a worker whose VM is taken away, and deletes the row in which the platform lists it. */
@@ -339,7 +375,8 @@
 
   /**
    * Returns the row formats of this fleet: the value of a submission row is the job's id, that of a
-   * worker row is the worker's incarnation, pool and VM, separated by spaces.
+   * worker row is the worker's incarnation, pool, VM and the owner of its address, separated by
+   * spaces.
    */
   RowFormats rowFormats() {
     return new RowFormats() {
@@ -357,7 +394,7 @@
                 id,
                 Long.parseLong(values.get(0)),
                 values.get(1),
-                InetSocketAddress.createUnresolved("worker-" + id, 1),
+                InetSocketAddress.createUnresolved(HOST_PREFIX + values.get(3), 1),
                 "zone",
                 values.get(2),
                 /* rack= */ "r1",
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -287,13 +287,15 @@
             fleet.clock.runAfter(
                 COMMAND_LATENCY_MILLIS,
                 () -> {
-                  FakeWorker target = fleet.workers.get(worker.id());
-                  if (target.crashed) {
+                  Optional<FakeWorker> target = fleet.workerAt(worker.address());
+                  if (target.isPresent() && target.get().crashed) {
                     fleet.clock.runAfter(
                         CALL_TIMEOUT_MILLIS,
                         () -> callback.accept(Either.left(CallFailure.OUTCOME_UNKNOWN)));
                   } else {
-                    Either<CallFailure, TaskReply> reply = action.apply(target);
+                    Either<CallFailure, TaskReply> reply =
+                        this.<TaskReply>rejectionAt(target, worker)
+                            .orElseGet(() -> action.apply(target.get()));
                     fleet.clock.runAfter(COMMAND_LATENCY_MILLIS, () -> callback.accept(reply));
                   }
                 });
@@ -310,6 +312,17 @@
       }
     }
 
+    /** Returns how a call is rejected at an address where its worker does not listen. */
+    private <T> Optional<Either<CallFailure, T>> rejectionAt(
+        Optional<FakeWorker> target, WorkerEntry worker) {
+      if (target.isEmpty()) {
+        return Optional.of(Either.left(CallFailure.NOT_PERFORMED));
+      }
+      return target.get().id.equals(worker.id())
+          ? Optional.empty()
+          : Optional.of(Either.left(CallFailure.WRONG_INCARNATION));
+    }
+
     private void failAfterTimeout(Consumer<Either<CallFailure, TaskReply>> done) {
       fleet.clock.runAfter(
           CALL_TIMEOUT_MILLIS, () -> done.accept(Either.left(CallFailure.OUTCOME_UNKNOWN)));
@@ -326,11 +339,14 @@
     private void executeIfSameIncarnation(
         WorkerEntry worker,
         java.util.function.Function<FakeWorker, Either<CallFailure, TaskReply>> action) {
-      FakeWorker target = fleet.workers.get(worker.id());
       // An incarnation for which the command is not meant rejects it.
-      if (!target.crashed && target.incarnation == worker.incarnation()) {
-        var unused = action.apply(target);
-      }
+      fleet
+          .workerAt(worker.address())
+          .filter(target -> !target.crashed && target.incarnation == worker.incarnation())
+          .ifPresent(
+              target -> {
+                var unused = action.apply(target);
+              });
     }
 
     @Override
@@ -367,18 +383,25 @@
         Consumer<Either<CallFailure, WorkerReport>> done) {
       Consumer<Either<CallFailure, WorkerReport>> callback = wrapCallback(done);
       CommandOutcome outcome = commandOutcomeFor(worker);
-      FakeWorker target = fleet.workers.get(worker.id());
-      boolean isReached = outcome == CommandOutcome.RESPONSE_RECEIVED && !target.crashed;
-      if (isReached) {
-        fleet.clock.runAfter(COMMAND_LATENCY_MILLIS, () -> target.pollReport(request, callback));
+      Optional<FakeWorker> target = fleet.workerAt(worker.address());
+      boolean isUp = !target.map(found -> found.crashed).orElse(false);
+      if (outcome == CommandOutcome.RESPONSE_RECEIVED && isUp) {
+        Optional<Either<CallFailure, WorkerReport>> rejection = rejectionAt(target, worker);
+        fleet.clock.runAfter(
+            COMMAND_LATENCY_MILLIS,
+            () ->
+                rejection.ifPresentOrElse(
+                    callback, () -> target.get().pollReport(request, callback)));
         return;
       }
-      if (outcome != CommandOutcome.NOT_DELIVERED && !target.crashed) {
+      if (outcome != CommandOutcome.NOT_DELIVERED
+          && isUp
+          && rejectionAt(target, worker).isEmpty()) {
         long delay =
             outcome == CommandOutcome.EXECUTED_LATE
                 ? LATE_COMMAND_DELAY_MILLIS
                 : COMMAND_LATENCY_MILLIS;
-        fleet.clock.runAfter(delay, () -> target.pollReport(request, response -> {}));
+        fleet.clock.runAfter(delay, () -> target.get().pollReport(request, response -> {}));
       }
       fleet.clock.runAfter(
           CALL_TIMEOUT_MILLIS + request.waitMillis(),
