--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -301,6 +301,7 @@
     task.phase = TaskPhase.RUNNING;
     task.job.startAccepted = true;
     task.restored = false;
+    task.orderedToEarlierIncarnation = false;
     task.confirmedMillis = clock.monotonicMillis();
     log.log(
         "task.started",
@@ -316,6 +317,21 @@
         clock.wallMillis() - task.job.spec.acceptedMillis());
   }
 
+  /** Releases the tasks on a worker whose start has not been sent. */
+  void releaseUnsentTasksOf(Worker worker, String reason) {
+    for (Task task : worker.tasks()) {
+      if (!task.phase.mayBeKnownToWorker()) {
+        release(task, TaskPhase.WAITING, reason);
+      }
+    }
+  }
+
+  @Override
+  public void onUnreportedAfterRestart(Task task) {
+    // The start may still arrive, and the worker rejects it only after a stop.
+    commandSender.stop(task, "worker_restarted");
+  }
+
   @Override
   public void onOutcomeUnknown(Task task) {
     release(task, TaskPhase.WAITING, "not_listed");
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -23,8 +23,8 @@
   /** Longest duration of a worker's lease per granted duration, since its clock may be slow. */
   private static final double MAX_LEASE_DURATION_FACTOR = 1.04;
 
-  /** Added to the time at which all leases granted by earlier schedulers have expired, in ms. */
-  private static final long PREDECESSOR_LEASE_MARGIN_MILLIS = 300;
+  /** Added to the duration of a lease whose end on the worker's clock is unknown, in ms. */
+  private static final long UNKNOWN_LEASE_MARGIN_MILLIS = 300;
 
   private final FleetClock clock;
   private final EventLog log;
@@ -83,7 +83,9 @@
     this.lease =
         new SchedulerLease(tracked, clock, log, settings, holderWatch, new LeaseListener());
     this.fences = new DecisionFences(tracked, clock, log, lease, settings.process());
-    this.workers = new WorkerRegistry(tracked, clock, log, formats, this::releaseTasksOf);
+    this.workers =
+        new WorkerRegistry(
+            tracked, clock, log, formats, longestLeaseMillis(settings), new WorkerListener());
     this.jobCleaner =
         new FinishedJobCleaner(tracked, clock, lease, fences, settings.finalStateRetentionMillis());
     this.quarantine = new Quarantine(log);
@@ -290,8 +292,22 @@
         clock.monotonicMillis() - leaseAcquiredMillis);
   }
 
-  private void releaseTasksOf(Worker worker) {
-    jobs.releaseTasksOf(worker, "worker_gone");
+  /** Returns how long after a command a lease that it granted may last, in true time. */
+  private static long longestLeaseMillis(SchedulerSettings settings) {
+    return (long) (settings.maxLeaseMillis() * MAX_LEASE_DURATION_FACTOR)
+        + UNKNOWN_LEASE_MARGIN_MILLIS;
+  }
+
+  private final class WorkerListener implements WorkerRegistry.Listener {
+    @Override
+    public void onEnded(Worker worker) {
+      jobs.releaseTasksOf(worker, "worker_gone");
+    }
+
+    @Override
+    public void onRestarted(Worker earlier) {
+      jobs.releaseUnsentTasksOf(earlier, "worker_restarted");
+    }
   }
 
   private void reset() {
@@ -316,9 +332,8 @@
     public void onAcquired(long epoch) {
       long now = clock.monotonicMillis();
       leaseAcquiredMillis = now;
-      long longestLeaseMillis = (long) (settings.maxLeaseMillis() * MAX_LEASE_DURATION_FACTOR);
       reset();
-      workers.reset(now + longestLeaseMillis + PREDECESSOR_LEASE_MARGIN_MILLIS);
+      workers.reset(now + longestLeaseMillis(settings));
       vmInventory.reset();
       commandLog.reset();
       maintenance.reset();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -48,6 +48,12 @@
    */
   boolean restored;
 
+  /**
+   * Whether the start was sent only to an earlier incarnation of the worker. The present one may
+   * have received it, but is of any kind and capacity, so the start is not repeated there.
+   */
+  boolean orderedToEarlierIncarnation;
+
   /** When the worker confirmed that it runs the attempt, monotonic ms; 0 before. */
   long confirmedMillis;
 
@@ -118,6 +124,7 @@
     ticket = adviceTicket;
     inconclusiveSends = 0;
     restored = false;
+    orderedToEarlierIncarnation = false;
     stopAcceptedMillis = 0;
     nextCommandMillis = 0;
     confirmedMillis = 0;
@@ -134,6 +141,7 @@
   void moveToRestartedWorker(Worker restartedWorker) {
     worker = restartedWorker;
     commandPending = false;
+    orderedToEarlierIncarnation = phase == TaskPhase.ORDERED;
     restartedWorker.add(this);
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
@@ -155,9 +156,19 @@
       stop(task, "start_unanswered");
       return;
     }
-    long now = clock.monotonicMillis();
-    task.commandPending = true;
+    if (isStart && task.orderedToEarlierIncarnation) {
+      // The next report of the restarted worker shows whether it runs the attempt.
+      return;
+    }
     Worker worker = task.worker;
+    Optional<Long> leaseEnd =
+        isStart
+            ? worker.grantLease(settings.leaseMillis(), clock.monotonicMillis())
+            : Optional.empty();
+    if (isStart && leaseEnd.isEmpty()) {
+      return;
+    }
+    task.commandPending = true;
     int attempt = task.attempt;
     long sentGeneration = generation;
     java.util.function.Consumer<Either<CallFailure, TaskReply>> onResponse =
@@ -179,7 +190,7 @@
               task.id,
               attempt,
               task.job.spec.payload(),
-              worker.grantLease(settings.leaseMillis(), now),
+              leaseEnd.get(),
               lease.epoch(),
               task.checkpoint,
               task.ticket);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.StepSpec;
@@ -13,20 +14,11 @@
 /**
  * The state of one incarnation of a worker, as known to the scheduler. Not thread-safe: used only
  * on the scheduler's thread.
- *
- * <p>The worker's clock may run as slow as {@link #MIN_CLOCK_RATE}, so a lease counts as expired
- * only when it has expired at that rate.
  */
 final class Worker {
-  /** Lowest rate of a worker's monotonic clock, as a fraction of true time. */
-  private static final double MIN_CLOCK_RATE = 0.98;
-
   /** How long the last worker report is relied on, in ms: one long poll and its response. */
   static final long REPORT_VALIDITY_MILLIS = 1_700;
 
-  /** Added to the end of a lease before the worker's tasks count as killed, in ms. */
-  private static final long EXPIRY_MARGIN_MILLIS = 150;
-
   WorkerEntry entry;
 
   /** Whether the platform lists this incarnation. */
@@ -83,17 +75,7 @@
   /** The part of the worker's capacity that is reserved for its tasks. */
   private Resources reserved = Resources.NONE;
 
-  /** The worker's clock in its last response, ms. */
-  private long reportedClockMillis;
-
-  /** When that response arrived, monotonic ms. */
-  private long clockReadMillis;
-
-  /** End of the longest lease granted, in ms on the worker's clock. */
-  private long leaseEndMillis;
-
-  /** When all leases that earlier schedulers granted have expired, monotonic ms. */
-  private long predecessorLeaseEndMillis;
+  private WorkerLease lease;
 
   private ReplacementClaim replacementClaim = ReplacementClaim.NONE;
 
@@ -119,12 +101,11 @@
   /**
    * Creates a listed worker without tasks.
    *
-   * @param predecessorLeaseEndMillis when all leases that earlier schedulers granted have expired,
-   *     monotonic ms
+   * @param unknownLeasesEndMillis see {@link WorkerLease}
    */
-  Worker(WorkerEntry entry, long predecessorLeaseEndMillis) {
+  Worker(WorkerEntry entry, long unknownLeasesEndMillis) {
     this.entry = entry;
-    this.predecessorLeaseEndMillis = predecessorLeaseEndMillis;
+    this.lease = WorkerLease.ofUnknownClock(unknownLeasesEndMillis);
   }
 
   /**
@@ -167,41 +148,34 @@
 
   /** Records a response with the worker's clock, which also ends a series of failed requests. */
   void recordResponse(long workerClockMillis, long nowMillis) {
-    reportedClockMillis = Math.max(workerClockMillis, reportedClockMillis);
-    clockReadMillis = nowMillis;
+    lease = lease.read(workerClockMillis, nowMillis);
     lastResponseMillis = nowMillis;
     consecutiveCallFailures = 0;
   }
 
   /**
    * Returns the lease end to send for a lease of {@code leaseMillis}, in ms on the worker's clock,
-   * and records it as granted.
+   * and records it as granted. Returns empty before the worker has reported its clock.
    *
    * <p>If the last request failed, this is the lease end granted before. Each request to a worker
    * that does not respond may still arrive, so if each extended the lease, the lease could never be
    * known to have expired.
    */
-  long grantLease(long leaseMillis, long nowMillis) {
+  Optional<Long> grantLease(long leaseMillis, long nowMillis) {
     if (consecutiveCallFailures > 0) {
-      return leaseEndMillis;
+      return lease.longestEnd();
     }
-    long requestedEndMillis = reportedClockMillis + (nowMillis - clockReadMillis) + leaseMillis;
-    leaseEndMillis = Math.max(leaseEndMillis, requestedEndMillis);
-    return requestedEndMillis;
-  }
-
-  /** Returns whether the lease ends in less than {@code marginMillis}. */
-  boolean isLeaseShort(long marginMillis, long nowMillis) {
-    return reportedClockMillis + (nowMillis - clockReadMillis) + marginMillis > leaseEndMillis;
+    Optional<Long> endMillis = lease.endOf(leaseMillis, nowMillis);
+    endMillis.ifPresent(end -> lease = lease.grantUntil(end));
+    return endMillis;
   }
 
   /**
-   * Returns whether every lease granted to this worker, also by earlier schedulers, has expired.
+   * Returns whether every lease granted to this worker has expired, also those that earlier
+   * schedulers granted, or this one to an earlier incarnation.
    */
   boolean isLeaseExpired(long nowMillis) {
-    double minElapsedMillis = (nowMillis - clockReadMillis) * MIN_CLOCK_RATE;
-    return nowMillis > predecessorLeaseEndMillis
-        && reportedClockMillis + minElapsedMillis > leaseEndMillis + EXPIRY_MARGIN_MILLIS;
+    return lease.isExpired(nowMillis);
   }
 
   /** Returns whether the worker responded so recently that its last worker report is relied on. */
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
@@ -0,0 +1,85 @@
+package org.sassafraslink.scheduler;
+
+import java.util.Optional;
+
+/**
+ * The leases granted to one incarnation of a worker. The end of a lease is a time on the clock of
+ * the incarnation, so no lease is granted before the incarnation has reported its clock.
+ *
+ * <p>The clock may run as slow as {@link #MIN_CLOCK_RATE}, so a lease counts as expired only when
+ * it has expired at that rate.
+ *
+ * @param unknownLeasesEndMillis when all leases have expired whose end on this clock is unknown,
+ *     monotonic ms: those that earlier schedulers granted, and those in commands that were sent to
+ *     an earlier incarnation
+ * @param onWorkerClock empty until the incarnation has reported its clock
+ */
+record WorkerLease(long unknownLeasesEndMillis, Optional<OnWorkerClock> onWorkerClock) {
+  /** Lowest rate of a worker's monotonic clock, as a fraction of true time. */
+  private static final double MIN_CLOCK_RATE = 0.98;
+
+  /** Added to the end of a lease before the worker's tasks count as killed, in ms. */
+  private static final long EXPIRY_MARGIN_MILLIS = 150;
+
+  /**
+   * The last reading of the worker's clock, and the lease granted on it.
+   *
+   * @param clockMillis the worker's clock, ms
+   * @param readMillis when it was read, monotonic ms
+   * @param endMillis end of the longest lease granted, on the worker's clock; 0 if none was granted
+   */
+  record OnWorkerClock(long clockMillis, long readMillis, long endMillis) {
+    private OnWorkerClock read(long workerClockMillis, long nowMillis) {
+      return new OnWorkerClock(Math.max(clockMillis, workerClockMillis), nowMillis, endMillis);
+    }
+
+    private OnWorkerClock grantUntil(long newEndMillis) {
+      return new OnWorkerClock(clockMillis, readMillis, Math.max(endMillis, newEndMillis));
+    }
+
+    private boolean isExpired(long nowMillis) {
+      double minElapsedMillis = (nowMillis - readMillis) * MIN_CLOCK_RATE;
+      return clockMillis + minElapsedMillis > endMillis + EXPIRY_MARGIN_MILLIS;
+    }
+  }
+
+  /** Returns the leases of an incarnation that has not reported its clock. */
+  static WorkerLease ofUnknownClock(long unknownLeasesEndMillis) {
+    return new WorkerLease(unknownLeasesEndMillis, Optional.empty());
+  }
+
+  /** Returns these leases after the incarnation has reported its clock. */
+  WorkerLease read(long workerClockMillis, long nowMillis) {
+    OnWorkerClock read =
+        onWorkerClock
+            .map(known -> known.read(workerClockMillis, nowMillis))
+            .orElseGet(() -> new OnWorkerClock(workerClockMillis, nowMillis, /* endMillis= */ 0));
+    return new WorkerLease(unknownLeasesEndMillis, Optional.of(read));
+  }
+
+  /**
+   * Returns the end of a lease of {@code leaseMillis} from now on, in ms on the worker's clock;
+   * empty if that clock is unknown.
+   */
+  Optional<Long> endOf(long leaseMillis, long nowMillis) {
+    return onWorkerClock.map(
+        known -> known.clockMillis() + (nowMillis - known.readMillis()) + leaseMillis);
+  }
+
+  /** Returns the end of the longest lease granted; empty if the worker's clock is unknown. */
+  Optional<Long> longestEnd() {
+    return onWorkerClock.map(OnWorkerClock::endMillis);
+  }
+
+  /** Returns these leases after one with this end on the worker's clock was granted. */
+  WorkerLease grantUntil(long endMillis) {
+    return new WorkerLease(
+        unknownLeasesEndMillis, onWorkerClock.map(known -> known.grantUntil(endMillis)));
+  }
+
+  /** Returns whether every lease has expired. */
+  boolean isExpired(long nowMillis) {
+    return nowMillis > unknownLeasesEndMillis
+        && onWorkerClock.map(known -> known.isExpired(nowMillis)).orElse(true);
+  }
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -153,10 +153,10 @@
       return;
     }
     long acknowledgedEnd = worker.lastCommittedEnd;
-    // The clock of a worker is unknown before its first response, so no lease end can be computed.
+    // A worker that may run tasks unknown to this scheduler is asked for a report first.
     Optional<Long> leaseEnd =
         worker.hasReported
-            ? Optional.of(worker.grantLease(settings.leaseMillis(), nowMillis))
+            ? worker.grantLease(settings.leaseMillis(), nowMillis)
             : Optional.empty();
     ReportRequest request = new ReportRequest(leaseEnd, acknowledgedEnd, lease.epoch(), waitMillis);
     worker.reportRequestPending = true;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.RowStore;
@@ -35,7 +34,8 @@
   private final EventLog log;
   private final RowFormats formats;
   private final WorkerListFeed listFeed;
-  private final Consumer<Worker> onEnd;
+  private final long longestLeaseMillis;
+  private final Listener listener;
 
   /** Workers that are listed, or that were listed and may still run tasks. */
   private final Map<String, Worker> workersById = new HashMap<>();
@@ -54,8 +54,31 @@
 
   private long predecessorLeaseEndMillis; // monotonic
 
+  /** Receives changes of workers with tasks; called on the scheduler's thread. */
+  interface Listener {
+    /** Called when an incarnation has ended and no longer runs any of its tasks. */
+    void onEnded(Worker worker);
+
+    /**
+     * Called when a worker has restarted, before the tasks of the earlier incarnation are moved to
+     * the new one. Tasks whose start has not been sent must be released.
+     */
+    void onRestarted(Worker earlier);
+  }
+
+  /**
+   * Creates a registry without workers.
+   *
+   * @param longestLeaseMillis how long after a command a lease that it granted may last
+   */
   WorkerRegistry(
-      RowStore store, FleetClock clock, EventLog log, RowFormats formats, Consumer<Worker> onEnd) {
+      RowStore store,
+      FleetClock clock,
+      EventLog log,
+      RowFormats formats,
+      long longestLeaseMillis,
+      Listener listener) {
+    this.longestLeaseMillis = longestLeaseMillis;
     this.clock = clock;
     this.log = log;
     this.formats = formats;
@@ -76,7 +99,7 @@
                 applyChanges(rows);
               }
             });
-    this.onEnd = onEnd;
+    this.listener = listener;
   }
 
   /**
@@ -242,11 +265,20 @@
     }
   }
 
+  /**
+   * Creates a worker. A command to the incarnation that was registered under its id before, if any,
+   * may have reached this one and granted it the longest lease.
+   */
+  private Worker createWorker(WorkerEntry entry, Worker earlier) {
+    long sentLeasesEndMillis = earlier == null ? 0 : clock.monotonicMillis() + longestLeaseMillis;
+    return new Worker(entry, Math.max(predecessorLeaseEndMillis, sentLeasesEndMillis));
+  }
+
   /** Registers the incarnation that an entry shows, and has the workers asked that it replaces. */
   private void register(WorkerEntry entry) {
+    Worker earlier = workersById.get(entry.id());
     Worker worker =
-        takeDetached(entry.id(), entry.incarnation())
-            .orElseGet(() -> new Worker(entry, predecessorLeaseEndMillis));
+        takeDetached(entry.id(), entry.incarnation()).orElseGet(() -> createWorker(entry, earlier));
     worker.applyEntry(entry);
     worker.listed = true;
     worker.registeredMillis = clock.monotonicMillis();
@@ -349,8 +381,7 @@
   private Worker registerConfirmed(Worker responding, long incarnation) {
     WorkerEntry entry = responding.entry.withIncarnation(incarnation);
     Worker worker =
-        takeDetached(entry.id(), incarnation)
-            .orElseGet(() -> new Worker(entry, predecessorLeaseEndMillis));
+        takeDetached(entry.id(), incarnation).orElseGet(() -> createWorker(entry, responding));
     if (!worker.confirmed) {
       worker.applyEntry(entry);
     }
@@ -377,6 +408,7 @@
         to.entry.incarnation(),
         "tasks",
         from.tasks().size());
+    listener.onRestarted(from);
     for (Task task : from.tasks()) {
       from.remove(task);
       task.moveToRestartedWorker(to);
@@ -433,6 +465,6 @@
     if (workersById.get(worker.entry.id()) == worker) {
       workersById.remove(worker.entry.id());
     }
-    onEnd.accept(worker);
+    listener.onEnded(worker);
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
@@ -32,6 +32,12 @@
   interface Listener {
     void onStarted(Task task);
 
+    /**
+     * Called when a worker has restarted and its report does not list an attempt whose start was
+     * sent to the earlier incarnation.
+     */
+    void onUnreportedAfterRestart(Task task);
+
     /** Called when an attempt is over, but no report lists how it ended. */
     void onOutcomeUnknown(Task task);
 
@@ -93,9 +99,13 @@
     }
     if (report.ended().size() < MAX_REPORTED_ENDS) {
       for (Task task : worker.tasks()) {
-        if (!reported.contains(new Attempt(task.id, task.attempt))
-            && isOverIfUnreported(task, sentMillis)) {
+        boolean isReported = reported.contains(new Attempt(task.id, task.attempt));
+        if (!isReported && isOverIfUnreported(task, sentMillis)) {
           listener.onOutcomeUnknown(task);
+        } else if (!isReported
+            && task.phase == TaskPhase.ORDERED
+            && task.orderedToEarlierIncarnation) {
+          listener.onUnreportedAfterRestart(task);
         }
       }
     }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/TestWorkers.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TestWorkers.java
@@ -30,7 +30,7 @@
                 /* labels= */ ImmutableList.of("a", "r1"),
                 CAPACITY,
                 /* draining= */ false),
-            /* predecessorLeaseEndMillis= */ 0);
+            /* unknownLeasesEndMillis= */ 0);
     worker.hasReported = true;
     return worker;
   }
--- /dev/null
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseTest.java
@@ -0,0 +1,89 @@
+package org.sassafraslink.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against leases that never expire, or count as expired too early, because their end was
+ * computed for a clock that the worker has not reported.
+ */
+final class WorkerLeaseTest {
+  private static final long NOW_MILLIS = 500_000_000;
+  private static final long LEASE_MILLIS = 6_000;
+
+  /** After {@code waitMillis}, a lease is granted, after the clock was read if {@code isRead}. */
+  record Step(long waitMillis, boolean isRead) {}
+
+  @Test
+  void noLeaseEndIsKnownBeforeTheClockIsReported() {
+    WorkerLease lease = WorkerLease.ofUnknownClock(NOW_MILLIS);
+    assertEquals(Optional.empty(), lease.endOf(LEASE_MILLIS, NOW_MILLIS));
+    assertEquals(Optional.empty(), lease.longestEnd());
+    assertEquals(lease, lease.grantUntil(NOW_MILLIS + LEASE_MILLIS));
+  }
+
+  /** Guards against releasing tasks that commands to an earlier incarnation may have started. */
+  @Test
+  void leasesOfUnknownEndCountAsExpiredWithTheClockOrWithoutIt() {
+    WorkerLease unread = WorkerLease.ofUnknownClock(NOW_MILLIS);
+    WorkerLease read = unread.read(/* workerClockMillis= */ 500, NOW_MILLIS - 3_000);
+    for (WorkerLease lease : List.of(unread, read)) {
+      assertFalse(lease.isExpired(NOW_MILLIS));
+      assertTrue(lease.isExpired(NOW_MILLIS + 1));
+    }
+  }
+
+  /** Tries any uptime of the entry VM and of the worker, any rate of its clock, any order. */
+  @Property(tries = 1_000, seed = "20261205")
+  void expiryFollowsTheLastLeaseOnTheWorkersClock(
+      @ForAll @LongRange(min = 0, max = 10_000_000_000L) long entryUptimeMillis,
+      @ForAll @LongRange(min = 0, max = 10_000_000_000L) long workerUptimeMillis,
+      @ForAll @DoubleRange(min = 0.98, max = 1) double rate,
+      @ForAll("steps") List<Step> steps) {
+    WorkerLease lease = WorkerLease.ofUnknownClock(0);
+    long elapsedMillis = 0;
+    double longestEndMillis = 0;
+    for (Step step : steps) {
+      elapsedMillis += step.waitMillis();
+      long nowMillis = entryUptimeMillis + elapsedMillis;
+      if (step.isRead()) {
+        lease = lease.read((long) (workerUptimeMillis + elapsedMillis * rate), nowMillis);
+      }
+      Optional<Long> endMillis = lease.endOf(LEASE_MILLIS, nowMillis);
+      if (endMillis.isPresent()) {
+        lease = lease.grantUntil(endMillis.get());
+        longestEndMillis = Math.max(longestEndMillis, endMillis.get());
+      }
+    }
+    // When the worker's own clock reaches the end of the lease, in ms after the first step.
+    double trueExpiryMillis = (longestEndMillis - workerUptimeMillis) / rate;
+    if (lease.longestEnd().isPresent()) {
+      assertFalse(lease.isExpired((long) (entryUptimeMillis + trueExpiryMillis)));
+      long latestMillis = elapsedMillis + (long) (LEASE_MILLIS * 1.1) + 500;
+      assertTrue(lease.isExpired(entryUptimeMillis + latestMillis));
+    }
+  }
+
+  @Provide
+  Arbitrary<List<Step>> steps() {
+    return Combinators.combine(
+            Arbitraries.longs().between(0, 1_000), Arbitraries.of(true, true, true, false))
+        .as(Step::new)
+        .list()
+        .ofMinSize(1)
+        .ofMaxSize(20);
+  }
+}
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
@@ -30,7 +30,20 @@
       new ArrayDeque<>();
   private final WorkerRegistry registry =
       new WorkerRegistry(
-          new ManualStore(), new TestClock(), EventLog.silent(), new Formats(), worker -> {});
+          new ManualStore(),
+          new TestClock(),
+          EventLog.silent(),
+          new Formats(),
+          /* longestLeaseMillis= */ 6_000,
+          new IgnoringListener());
+
+  private static final class IgnoringListener implements WorkerRegistry.Listener {
+    @Override
+    public void onEnded(Worker worker) {}
+
+    @Override
+    public void onRestarted(Worker earlier) {}
+  }
 
   private final class TestClock implements FleetClock {
     @Override
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.sassafraslink.scheduler.TestJobs.StepKind;
 
@@ -59,9 +60,10 @@
   @Test
   void leaseOfUnresponsiveWorkerIsNotExtended() {
     worker.recordResponse(/* workerClockMillis= */ 500, NOW_MILLIS);
-    long leaseEndMillis = worker.grantLease(6_000, NOW_MILLIS);
+    Optional<Long> leaseEnd = worker.grantLease(6_000, NOW_MILLIS);
+    assertEquals(Optional.of(6_500L), leaseEnd);
     worker.consecutiveCallFailures = 1;
-    assertEquals(leaseEndMillis, worker.grantLease(6_000, NOW_MILLIS + 3_000));
+    assertEquals(leaseEnd, worker.grantLease(6_000, NOW_MILLIS + 3_000));
     assertFalse(worker.isLeaseExpired(NOW_MILLIS + 6_000));
     // 6,000 ms on a clock that is 2 percent slow, plus the margin of 150 ms, have passed.
     assertTrue(worker.isLeaseExpired(NOW_MILLIS + 6_300));
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +69,9 @@
   /** By task, the highest attempt that has ended or was stopped; up to it, none may start again. */
   private final Map<TaskId, Integer> highestEndedAttempt = new HashMap<>();
 
+  /** The numbers of the attempts that this incarnation has started. */
+  final Set<Integer> startedAttempts = new HashSet<>();
+
   private final List<WorkerReport.Ended> unacknowledgedEnds = new ArrayList<>();
   private long lastEndSequence;
   private long highestFencingToken;
@@ -145,6 +149,7 @@
     }
     RunningAttempt started = new RunningAttempt(start.task(), start.attempt(), need);
     runningAttempts.put(start.task(), started);
+    startedAttempts.add(start.attempt());
     guaranteeChecker.onStart(this, start.task(), start.attempt());
     EndKind endKind =
         taskBehavior.fails(started.task, started.attempt, id) ? EndKind.FAILED : EndKind.DONE;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -185,6 +185,16 @@
     rowStore.putRow(WORKER_TABLE, "", id, value);
   }
 
+  /** Returns the numbers of the attempts that the present incarnation of a worker has started. */
+  public Set<Integer> startedAttempts(String id) {
+    return workers.get(id).startedAttempts;
+  }
+
+  /** Returns how many attempts run on all workers. */
+  public int runningAttemptCount() {
+    return workers.values().stream().mapToInt(FakeWorker::runningAttemptCount).sum();
+  }
+
   /** Returns the incarnation of a worker. */
   public long incarnation(String id) {
     return workers.get(id).incarnation;
