--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -95,6 +95,7 @@
         changedJobs.add(candidate.job());
       }
     }
+    adviceTickets.callIfDue(nowMillis);
     return changedJobs;
   }
 
@@ -158,16 +159,12 @@
 
   private boolean placeIndependently(
       Candidate candidate, List<Task> tasks, List<Worker> available, long nowMillis) {
-    Optional<ImmutableMap<String, String>> tickets =
-        adviceTickets.ticketsFor(tasks.get(0), candidate.queue(), available, nowMillis);
-    if (tickets.isEmpty()) {
-      return false;
-    }
+    ImmutableMap<String, String> tickets = ticketsFor(candidate, tasks, available, nowMillis);
     // The tasks of a step need the same, so workers without room for the first are left out.
     List<Worker> fitting =
         unplaceableNeeds.contains(tasks.get(0), available)
             ? List.of()
-            : workersWithTickets(available, tickets.get(), candidate.queue()).stream()
+            : workersWithTickets(available, tickets, candidate.queue()).stream()
                 .filter(worker -> WorkerChoice.fits(tasks.get(0), worker))
                 .toList();
     Resources teamLimit = config.upperLimitOf(candidate.job().spec.team());
@@ -181,10 +178,11 @@
         if (candidate.queue().advice().isEmpty()) {
           unplaceableNeeds.add(task, available);
         }
-        addToBacklog(candidate, tasks.subList(tasks.indexOf(task), tasks.size()));
+        onUnplaced(candidate, tasks.subList(tasks.indexOf(task), tasks.size()), tickets);
+        adviceTickets.requestIfRequired(task, candidate.queue(), available, nowMillis);
         break;
       }
-      assign(task, worker.get(), task.attempt + 1, tickets.get());
+      assign(task, worker.get(), task.attempt + 1, tickets);
       isAnyPlaced = true;
     }
     return isAnyPlaced;
@@ -196,15 +194,11 @@
    */
   private boolean placeGang(
       Candidate candidate, List<Task> tasks, List<Worker> available, long nowMillis) {
-    boolean isComplete = tasks.size() == tasks.get(0).step.count();
-    Optional<ImmutableMap<String, String>> tickets =
-        isComplete
-            ? adviceTickets.ticketsFor(tasks.get(0), candidate.queue(), available, nowMillis)
-            : Optional.empty();
-    if (tickets.isEmpty()) {
+    if (tasks.size() < tasks.get(0).step.count()) {
       return false;
     }
-    List<Worker> eligible = workersWithTickets(available, tickets.get(), candidate.queue());
+    ImmutableMap<String, String> tickets = ticketsFor(candidate, tasks, available, nowMillis);
+    List<Worker> eligible = workersWithTickets(available, tickets, candidate.queue());
     if (tasks.get(0).step.rackLocal()) {
       // One rack is preferred; without room in any, the gang is spread over several.
       Set<String> racks = new HashSet<>();
@@ -212,18 +206,34 @@
       for (String rack : racks) {
         List<Worker> inRack =
             eligible.stream().filter(worker -> worker.entry.rack().equals(rack)).toList();
-        if (tryPlaceGang(candidate.job(), tasks, inRack, tickets.get())) {
+        if (tryPlaceGang(candidate.job(), tasks, inRack, tickets)) {
           return true;
         }
       }
     }
-    boolean isPlaced = tryPlaceGang(candidate.job(), tasks, eligible, tickets.get());
+    boolean isPlaced = tryPlaceGang(candidate.job(), tasks, eligible, tickets);
     if (!isPlaced) {
-      addToBacklog(candidate, tasks);
+      onUnplaced(candidate, tasks, tickets);
+      adviceTickets.requestIfRequired(tasks.get(0), candidate.queue(), available, nowMillis);
     }
     return isPlaced;
   }
 
+  private ImmutableMap<String, String> ticketsFor(
+      Candidate candidate, List<Task> tasks, List<Worker> available, long nowMillis) {
+    return candidate.queue().advice().isEmpty()
+        ? ImmutableMap.of()
+        : adviceTickets.ticketsFor(tasks.get(0), available, nowMillis);
+  }
+
+  /** Adds tasks to the backlog, unless no worker is known that may run them. */
+  private void onUnplaced(
+      Candidate candidate, List<Task> tasks, ImmutableMap<String, String> tickets) {
+    if (candidate.queue().advice().isEmpty() || !tickets.isEmpty()) {
+      addToBacklog(candidate, tasks);
+    }
+  }
+
   /**
    * Adds tasks of one step to the backlog of their pool, for which {@link PoolAutoscaler} may add
    * VMs. Those of late and excess jobs are left out if they could not start with more VMs either:
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -167,7 +167,7 @@
             log, config, workers::listedInPool, autoscaler::neededInTime, vmMover::countMovesTo);
     this.pendingCounts = new PendingJobCounts(store, lease);
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
-    this.adviceTickets = new AdviceTicketCache(adviceClient, clock, log);
+    this.adviceTickets = new AdviceTicketCache(adviceClient, clock, log, jobs::requestPlacement);
     this.placement =
         new Placement(
             config, workers, durationModel, quarantine, adviceTickets, autoscaler::isSurplus, log);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.stream.Stream;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.failure.FailureType;
@@ -63,6 +64,9 @@
   /** The newest incarnation of a worker. Real ones are times in Unix ms. */
   private long lastIncarnation = 1_700_000_000_000L;
 
+  /** Whether the advice service lets a job run on a worker; both are given by their ids. */
+  public BiPredicate<String, String> advicePolicy = (job, worker) -> true;
+
   /** Tasks of which every attempt fails. */
   public final List<TaskId> tasksThatAlwaysFail = new ArrayList<>();
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimLayout.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimLayout.java
@@ -10,6 +10,7 @@
 import org.sassafraslink.api.fleet.FleetSettings.RequestLimits;
 import org.sassafraslink.api.fleet.FleetSettings.TeamConfig;
 import org.sassafraslink.api.fleet.QueueConfig;
+import org.sassafraslink.api.fleet.QueueConfig.AdviceTimes;
 import org.sassafraslink.api.fleet.Resources;
 
 /**
@@ -51,6 +52,30 @@
         /* tasksRunAsEstimated= */ false);
   }
 
+  /** Returns a fleet with one pool, and one open queue whose starts require tickets. */
+  public static SimLayout withAdvice(int workerCount) {
+    AdviceTimes times =
+        new AdviceTimes(
+            /* decisionMillis= */ 60, /* perWorkerMillis= */ 5, /* validityMillis= */ 3_000);
+    FleetSettings settings =
+        settings(
+            ImmutableMap.of(
+                SimFleet.QUEUE, queue(SimFleet.QUEUE, SimFleet.POOL, true, Optional.of(times))),
+            ImmutableMap.of(SimFleet.POOL, pool(SimFleet.POOL, false)),
+            ImmutableMap.of());
+    return new SimLayout(
+        settings,
+        ImmutableMap.of(SimFleet.POOL, workerCount),
+        new Resources(8_000, 32_000, 0),
+        OptionalInt.empty(),
+        /* tasksRunAsEstimated= */ true);
+  }
+
+  /** Returns how the advice service answers for the queue; empty if no queue requires tickets. */
+  Optional<AdviceTimes> adviceTimes() {
+    return settings.queues().values().stream().flatMap(queue -> queue.advice().stream()).findAny();
+  }
+
   /**
    * Returns a fleet with a standby pool, and with an open queue for each other pool, which has the
    * pool's name.
@@ -92,6 +117,11 @@
   }
 
   private static QueueConfig queue(String name, String pool, boolean open) {
+    return queue(name, pool, open, /* advice= */ Optional.empty());
+  }
+
+  private static QueueConfig queue(
+      String name, String pool, boolean open, Optional<AdviceTimes> advice) {
     return new QueueConfig(
         name,
         "host",
@@ -102,7 +132,7 @@
         MAX_FAILURES,
         /* slackFactor= */ 2,
         /* targetLatencyMillis= */ 600,
-        /* advice= */ Optional.empty());
+        advice);
   }
 
   private static PoolConfig pool(String name, boolean standby) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.sassafraslink.api.fleet.AdviceClient;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
@@ -83,7 +84,11 @@
             wrapStore(fleet.storeFor(name)),
             new SimWorkerClient(),
             wrapVmClient(fleet.vmClient()),
-            Optional.empty(),
+            fleet
+                .layout
+                .adviceTimes()
+                .map(times -> new FakeAdviceService(fleet.clock, times, fleet))
+                .map(this::wrapAdviceClient),
             clock,
             SimLog.forNode(name, fleet),
             fleet.rowFormats(),
@@ -248,6 +253,11 @@
     };
   }
 
+  private AdviceClient wrapAdviceClient(AdviceClient client) {
+    return (job, occurrence, step, workers, timeoutMillis, done) ->
+        client.advise(job, occurrence, step, workers, timeoutMillis, wrapCallback(done));
+  }
+
   private VmClient wrapVmClient(VmClient client) {
     return new VmClient() {
       @Override
@@ -352,7 +362,16 @@
     @Override
     public void start(
         WorkerEntry worker, Start start, Consumer<Either<CallFailure, TaskReply>> done) {
-      sendCommand(worker, target -> target.start(start), done);
+      sendCommand(
+          worker,
+          target -> {
+            boolean hasTicket =
+                fleet.layout.adviceTimes().isEmpty()
+                    || FakeAdviceService.isValid(
+                        start.ticket(), start.task(), worker.id(), fleet.clock.nowMillis());
+            return hasTicket ? target.start(start) : Either.right(TaskReply.NO_TICKET);
+          },
+          done);
     }
 
     @Override
