--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -180,6 +180,23 @@
     return !hasTask(task -> task.phase.occupiesWorker());
   }
 
+  /**
+   * Records the newest checkpoint of a task. That of any member of a gang is valid for the whole
+   * gang, so it becomes that of all its members, also of one whose worker is lost.
+   */
+  void recordCheckpoint(Task task, String checkpoint) {
+    if (task.step.gang()) {
+      tasksOfStep(task).forEach(member -> member.checkpoint = checkpoint);
+    } else {
+      task.checkpoint = checkpoint;
+    }
+  }
+
+  /** Returns the tasks of the same occurrence and step. */
+  ImmutableList<Task> tasksOfStep(Task task) {
+    return occurrences.get(task.id.occurrence()).get(task.id.step());
+  }
+
   /** Returns whether all tasks have ended successfully. */
   boolean allTasksDone() {
     return occurrences.stream()
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
@@ -97,6 +97,13 @@
         }
       }
     }
+    job.forEachTask(
+        task -> {
+          // An earlier version stored the members of a gang with checkpoints of their own.
+          if (!task.checkpoint.isEmpty()) {
+            job.recordCheckpoint(task, task.checkpoint);
+          }
+        });
     return attempts.build();
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -24,9 +24,18 @@
   /** The number of attempts that failed. */
   int failures;
 
-  /** The last checkpoint that a worker reported; empty if none. */
+  /**
+   * The last checkpoint that a worker reported; empty if none. All members of a gang have the same,
+   * see {@link Job#recordCheckpoint}.
+   */
   String checkpoint = "";
 
+  /**
+   * The checkpoint with which the current attempt is started. It stays the same while the start is
+   * repeated, since all members of a gang must be started with the same one.
+   */
+  String startCheckpoint = "";
+
   /** The worker of the current attempt; null while there is none. */
   Worker worker;
 
@@ -122,6 +131,7 @@
     worker = targetWorker;
     attempt = nextAttempt;
     ticket = adviceTicket;
+    startCheckpoint = checkpoint;
     inconclusiveSends = 0;
     restored = false;
     orderedToEarlierIncarnation = false;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -192,7 +192,7 @@
               task.job.spec.payload(),
               leaseEnd.get(),
               lease.epoch(),
-              task.checkpoint,
+              task.startCheckpoint,
               task.ticket);
       client.start(worker.entry, start, onResponse);
     } else {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -45,6 +45,9 @@
   /** When it last responded to a report request, monotonic ms. */
   long lastResponseMillis;
 
+  /** The worker's clock in its newest report, ms. */
+  long newestReportClockMillis;
+
   /** The number of consecutive failed report requests; at least 1 if the worker is unreachable. */
   int consecutiveCallFailures;
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
@@ -92,10 +92,13 @@
         applyEnded(worker, ended);
       }
     }
+    // Reports on different connections may overtake each other.
+    boolean isNewest = report.clockMillis() >= worker.newestReportClockMillis;
+    worker.newestReportClockMillis = Math.max(worker.newestReportClockMillis, report.clockMillis());
     Set<Attempt> reported = new HashSet<>();
     for (Running running : report.running()) {
       reported.add(new Attempt(running.task(), running.attempt()));
-      applyRunning(worker, running);
+      applyRunning(worker, running, isNewest);
     }
     if (report.ended().size() < MAX_REPORTED_ENDS) {
       for (Task task : worker.tasks()) {
@@ -125,14 +128,14 @@
     };
   }
 
-  private void applyRunning(Worker worker, Running running) {
+  private void applyRunning(Worker worker, Running running, boolean isNewest) {
     Task task = findCurrentTask(worker, running.task(), running.attempt());
     if (task == null) {
       stopOrphanedAttempt(worker, running);
       return;
     }
-    if (!running.checkpoint().isEmpty()) {
-      task.checkpoint = running.checkpoint();
+    if (isNewest && !running.checkpoint().isEmpty()) {
+      task.job.recordCheckpoint(task, running.checkpoint());
     }
     task.speedPercent = running.speedPercent();
     task.reportedLoad = running.load();
@@ -149,7 +152,7 @@
     }
     Job job = task.job;
     if (!ended.checkpoint().isEmpty()) {
-      task.checkpoint = ended.checkpoint();
+      job.recordCheckpoint(task, ended.checkpoint());
     }
     log.log(
         "task.ended",
@@ -183,7 +186,7 @@
   }
 
   private static ImmutableList<Task> gangMembersOf(Task task) {
-    return task.job.occurrences().get(task.id.occurrence()).get(task.id.step()).stream()
+    return task.job.tasksOfStep(task).stream()
         .filter(member -> member.phase.occupiesWorker() && member.attempt == task.attempt)
         .collect(ImmutableList.toImmutableList());
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/AdviceStarvationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/AdviceStarvationTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -85,27 +84,7 @@
   void wideGangNeverGetsTicketsForAllItsWorkers() {
     int tasks = StepAdvice.MAX_WORKERS_PER_CALL + 2;
     SimFleet fleet = fleet(2 * tasks);
-    StepSpec step = TestJobs.step(tasks, 1_000, 600_000, StepKind.PLAIN, /* maxPerWorker= */ 1);
-    submit(
-        fleet,
-        "a",
-        new StepSpec(
-            step.count(),
-            step.need(),
-            step.estimatedMillis(),
-            ImmutableList.of(),
-            /* gang= */ true,
-            step.rackLocal(),
-            step.requiredLabel(),
-            step.dataRack(),
-            step.maxPerWorker(),
-            step.speculative(),
-            step.checkpointing(),
-            step.longRunning(),
-            step.image(),
-            step.latencyTargetMillis(),
-            step.backfill(),
-            step.maxUnavailable()));
+    submit(fleet, "a", TestJobs.gang(tasks, 1_000, 600_000));
     fleet.runFor(FINISH_MILLIS);
     assertEquals(tasks, fleet.runningAttemptCount());
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
@@ -59,6 +59,27 @@
         /* maxUnavailable= */ 0);
   }
 
+  /** Returns a gang of {@code count} tasks that save their progress, one on each worker at most. */
+  static StepSpec gang(int count, long cpuMillis, long estimatedMillis) {
+    return new StepSpec(
+        count,
+        new Resources(cpuMillis, 1_000, 0),
+        estimatedMillis,
+        /* after= */ ImmutableList.of(),
+        /* gang= */ true,
+        /* rackLocal= */ false,
+        /* requiredLabel= */ "",
+        /* dataRack= */ "",
+        /* maxPerWorker= */ 1,
+        /* speculative= */ false,
+        /* checkpointing= */ true,
+        /* longRunning= */ false,
+        /* image= */ "",
+        /* latencyTargetMillis= */ 0,
+        /* backfill= */ false,
+        /* maxUnavailable= */ 0);
+  }
+
   static Job jobAcceptedAt(long acceptedMillis, StepSpec... steps) {
     JobSpec spec =
         new JobSpec(
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
@@ -53,6 +53,9 @@
     boolean fails(TaskId task, int attempt, String workerId);
 
     Resources resources(TaskId task);
+
+    /** Returns the number of members of the gang of a task; 0 if it is in no gang. */
+    int gangSize(TaskId task);
   }
 
   final String id;
@@ -63,6 +66,7 @@
   private final GuaranteeChecker guaranteeChecker;
   private final Resources capacity;
   private final Set<DisabledMechanism> disabled;
+  private final SimGangs gangs;
   private final long startedMillis;
   private final Map<TaskId, RunningAttempt> runningAttempts = new LinkedHashMap<>();
 
@@ -84,7 +88,8 @@
       TaskBehavior taskBehavior,
       GuaranteeChecker guaranteeChecker,
       Resources capacity,
-      Set<DisabledMechanism> disabled) {
+      Set<DisabledMechanism> disabled,
+      SimGangs gangs) {
     this.id = id;
     this.incarnation = incarnation;
     this.clock = clock;
@@ -92,6 +97,7 @@
     this.guaranteeChecker = guaranteeChecker;
     this.capacity = capacity;
     this.disabled = disabled;
+    this.gangs = gangs;
     this.startedMillis = clock.nowMillis();
     enforceLease();
   }
@@ -153,8 +159,19 @@
     guaranteeChecker.onStart(this, start.task(), start.attempt());
     EndKind endKind =
         taskBehavior.fails(started.task, started.attempt, id) ? EndKind.FAILED : EndKind.DONE;
-    clock.runAfter(
-        taskBehavior.runMillis(started.task, started.attempt), () -> endAttempt(started, endKind));
+    long runMillis = taskBehavior.runMillis(started.task, started.attempt);
+    int gangSize = taskBehavior.gangSize(start.task());
+    if (gangSize > 0) {
+      gangs.join(
+          started.task,
+          started.attempt,
+          start.checkpoint(),
+          gangSize,
+          runMillis,
+          kind -> endAttempt(started, kind));
+    } else {
+      clock.runAfter(runMillis, () -> endAttempt(started, endKind));
+    }
     return Either.right(TaskReply.ACCEPTED);
   }
 
@@ -210,7 +227,10 @@
   private WorkerReport createReport() {
     ImmutableList.Builder<WorkerReport.Running> reported = ImmutableList.builder();
     for (RunningAttempt running : runningAttempts.values()) {
-      reported.add(new WorkerReport.Running(running.task, running.attempt, "", 100, 0));
+      gangs.onReported(running.task, running.attempt);
+      reported.add(
+          new WorkerReport.Running(
+              running.task, running.attempt, gangs.saved(running.task, running.attempt), 100, 0));
     }
     return new WorkerReport(
         incarnation, clockMillis(), reported.build(), ImmutableList.copyOf(unacknowledgedEnds));
@@ -225,7 +245,13 @@
     highestEndedAttempt.merge(running.task, running.attempt, Math::max);
     lastEndSequence++;
     unacknowledgedEnds.add(
-        new WorkerReport.Ended(lastEndSequence, running.task, running.attempt, kind, ""));
+        new WorkerReport.Ended(
+            lastEndSequence,
+            running.task,
+            running.attempt,
+            kind,
+            gangs.saved(running.task, running.attempt)));
+    gangs.leave(running.task, running.attempt);
     guaranteeChecker.onEnd(this, running.task, kind);
   }
 
@@ -235,7 +261,9 @@
     runningAttempts
         .values()
         .forEach(running -> guaranteeChecker.onNoLongerRunning(this, running.task));
+    List<RunningAttempt> lost = List.copyOf(runningAttempts.values());
     runningAttempts.clear();
+    lost.forEach(running -> gangs.leave(running.task, running.attempt));
   }
 
   boolean isRunning(TaskId task) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -50,6 +50,7 @@
   public final Random random;
   public final FakeRowStore rowStore;
   public final GuaranteeChecker guaranteeChecker;
+  private final SimGangs gangs;
   public final Map<String, SimNode> nodes = new LinkedHashMap<>();
   final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final Map<String, String> poolByWorkerId = new HashMap<>();
@@ -77,6 +78,7 @@
     this.layout = layout;
     random = new Random(seed);
     guaranteeChecker = new GuaranteeChecker(clock);
+    gangs = new SimGangs(clock, guaranteeChecker);
     rowStore = new FakeRowStore(clock, random, guaranteeChecker);
     guaranteeChecker.setTeamLimit(TEAM, TEAM_LIMIT);
     guaranteeChecker.setMaxFailuresPerTask(SimLayout.MAX_FAILURES);
@@ -136,6 +138,7 @@
     SimNode previous = nodes.remove(nodeName);
     if (previous != null) {
       previous.kill();
+      gangs.forgetReports();
     }
   }
 
@@ -161,7 +164,8 @@
             new FleetTaskBehavior(),
             guaranteeChecker,
             layout.workerCapacity(),
-            disabledMechanisms);
+            disabledMechanisms,
+            gangs);
     workers.put(id, worker);
     poolByWorkerId.put(id, pool);
     putWorkerEntry(id, lastIncarnation, pool, vm, id);
@@ -463,6 +467,11 @@
       return step(task).need();
     }
 
+    @Override
+    public int gangSize(TaskId task) {
+      return step(task).gang() ? step(task).count() : 0;
+    }
+
     private StepSpec step(TaskId task) {
       return submittedJobs.get(task.job()).steps().get(task.step());
     }
