--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -171,9 +171,7 @@
             id, incarnation, "", NO_ADDRESS, "", "", "", ImmutableList.of(), Resources.NONE, false);
     Worker worker = new Worker(entry, predecessorLeaseEndMillis);
     worker.listed = false;
-    if (worker.confirmed || !worker.isEmpty()) {
-      detachedWorkers.add(worker);
-    }
+    detachedWorkers.add(worker);
     index = null;
     return worker;
   }
