--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -31,6 +31,9 @@
   /** Delay before a failed command for the maintenance of a VM is repeated, in ms. */
   private static final long RETRY_DELAY_MILLIS = 400;
 
+  /** How much longer than a move or the maintenance of a VM one that has left is absent, in ms. */
+  private static final long ABSENCE_MARGIN_MILLIS = 1_000;
+
   /** The operations of the scheduler that this class and {@link VmMover} call. */
   interface Actions {
     /** Stops the current attempt of a task. */
@@ -128,8 +131,10 @@
     WaveProgress progress =
         progressRows
             .find(wave.number())
-            .map(stored -> WaveProgress.resume(wave, stored, nowMillis, wallMillis))
-            .orElseGet(() -> WaveProgress.start(wave, nowMillis, wallMillis));
+            .map(
+                stored ->
+                    WaveProgress.resume(wave, stored, nowMillis, wallMillis, minAbsenceMillis()))
+            .orElseGet(() -> WaveProgress.start(wave, nowMillis, wallMillis, minAbsenceMillis()));
     progressRows.record(wave.number(), progress.toRow());
     log.log(
         "wave.seen",
@@ -146,6 +151,15 @@
     return progress;
   }
 
+  /** Returns for how long a VM must be absent from the list to count as left. */
+  private long minAbsenceMillis() {
+    return Math.max(settings.maintenanceMillis(), settings.moveMillis()) + ABSENCE_MARGIN_MILLIS;
+  }
+
+  private boolean isListed(String vm) {
+    return vmInventory.findVm(vm).isPresent();
+  }
+
   private void recordHandled(WaveProgress progress, String vm) {
     progress.handledVms.add(vm);
     progressRows.record(progress.wave.number(), progress.toRow());
@@ -166,6 +180,7 @@
   void advanceWaves(Backlog backlog, boolean isCapacityScarce, long nowMillis) {
     progressRows.readOrWriteIfDue(nowMillis);
     startRequestedWaves(nowMillis);
+    progressByWave.values().forEach(progress -> progress.reopenIfListed(this::isListed));
     boolean hasUncompletedWave =
         progressByWave.values().stream().anyMatch(progress -> !progress.completedReported);
     if (!hasUncompletedWave || !lease.isValid()) {
@@ -187,24 +202,13 @@
     }
     progress.downSinceMillis.keySet().removeIf(vm -> isUpOrUnlisted(progress, vm));
     List<String> remaining = progress.remainingVms();
-    remaining.removeIf(
-        vm -> {
-          boolean isAbsent = vmInventory.findVm(vm).isEmpty();
-          if (isAbsent) {
-            recordHandled(progress, vm);
-            log.log("wave.machine_left", "wave", progress.wave.number(), "machine", vm);
-          }
-          return isAbsent;
-        });
+    progress.departures.applyList(remaining, this::isListed, vmInventory.listRequestedMillis());
+    if (remaining.stream().allMatch(progress.departures::hasLeft)) {
+      complete(progress, nowMillis);
+      return;
+    }
+    remaining.removeIf(vm -> !isListed(vm));
     if (remaining.isEmpty()) {
-      progress.completedReported = true;
-      log.log(
-          "wave.completed",
-          "wave",
-          progress.wave.number(),
-          "after",
-          nowMillis - progress.firstSeenMillis);
-      actions.writeWaveStatus(progress.wave.number(), true);
       return;
     }
     WavePace pace = paceOf(progress, remaining.size(), nowMillis);
@@ -214,6 +218,20 @@
     drainAndMaintainVms(progress, remaining, pace, pace.downAtOnce(isCapacityScarce), nowMillis);
   }
 
+  private void complete(WaveProgress progress, long nowMillis) {
+    progress.complete();
+    progressRows.record(progress.wave.number(), progress.toRow());
+    log.log(
+        "wave.completed",
+        "wave",
+        progress.wave.number(),
+        "after",
+        nowMillis - progress.firstSeenMillis,
+        "left",
+        progress.leftVms);
+    actions.writeWaveStatus(progress.wave.number(), true);
+  }
+
   private WavePace paceOf(WaveProgress progress, int remaining, long nowMillis) {
     return new WavePace(
         (long) (progress.wave.durationSeconds() * 1_000),
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WaveProgressRows.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WaveProgressRows.java
@@ -44,8 +44,10 @@
    *
    * @param startedMillis when a scheduler first saw the wave, wall-clock ms
    * @param handledVms the VMs whose maintenance was accepted or is not needed
+   * @param leftVms the VMs without which the wave was completed, since they had left the fleet
    */
-  record Progress(long startedMillis, ImmutableSet<String> handledVms) {}
+  record Progress(
+      long startedMillis, ImmutableSet<String> handledVms, ImmutableSet<String> leftVms) {}
 
   private final RowStore store;
   private final FleetClock clock;
@@ -126,16 +128,23 @@
   private void load(StoredRow row) {
     try {
       JsonNode value = MAPPER.readTree(row.value());
-      ImmutableSet.Builder<String> handledVms = ImmutableSet.builder();
-      value.path("handled").forEach(vm -> handledVms.add(vm.asText()));
       loadedByWave.put(
           Long.parseLong(row.key().key()),
-          new Progress(value.path("started").asLong(), handledVms.build()));
+          new Progress(
+              value.path("started").asLong(),
+              decodeVms(value.path("handled")),
+              decodeVms(value.path("left"))));
     } catch (JsonProcessingException | NumberFormatException e) {
       log.log("wave.progress_unreadable", "row", row.key().key(), "error", e);
     }
   }
 
+  private static ImmutableSet<String> decodeVms(JsonNode array) {
+    ImmutableSet.Builder<String> vms = ImmutableSet.builder();
+    array.forEach(vm -> vms.add(vm.asText()));
+    return vms.build();
+  }
+
   private void write(long nowMillis) {
     callPending = true;
     nextCallMillis = nowMillis + MIN_WRITE_INTERVAL_MILLIS;
@@ -169,6 +178,8 @@
         JsonNodeFactory.instance.objectNode().put("started", progress.startedMillis());
     ArrayNode handledVms = value.putArray("handled");
     progress.handledVms().forEach(handledVms::add);
+    ArrayNode leftVms = value.putArray("left");
+    progress.leftVms().forEach(leftVms::add);
     return value.toString();
   }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
@@ -31,6 +31,9 @@
     private String workerId = "";
     private int workersStarted;
 
+    /** Until when the lists lack this VM, ms. */
+    private long hiddenUntilMillis;
+
     FakeVm(String pool) {
       this.pool = pool;
     }
@@ -59,6 +62,16 @@
     startWorkerIfPoweredOn(id);
   }
 
+  /** Returns how many VMs are in maintenance. */
+  long vmsInMaintenance() {
+    return vms.values().stream().filter(vm -> vm.state == VmState.IN_MAINTENANCE).count();
+  }
+
+  /** Has the lists lack a VM for {@code millis} ms. */
+  void hideVm(String id, long millis) {
+    vms.get(id).hiddenUntilMillis = fleet.clock.nowMillis() + millis;
+  }
+
   private void startWorkerIfPoweredOn(String id) {
     FakeVm vm = vms.get(id);
     if (!vm.pool.equals(SimLayout.STANDBY_POOL)) {
@@ -75,7 +88,12 @@
 
   private ImmutableList<Vm> listVms() {
     ImmutableList.Builder<Vm> list = ImmutableList.builder();
-    vms.forEach((id, vm) -> list.add(new Vm(id, vm.pool, vm.state, "zone", "r1", vm.workerId)));
+    vms.forEach(
+        (id, vm) -> {
+          if (fleet.clock.nowMillis() >= vm.hiddenUntilMillis) {
+            list.add(new Vm(id, vm.pool, vm.state, "zone", "r1", vm.workerId));
+          }
+        });
     return list.build();
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -226,6 +226,21 @@
         .filter(worker -> !worker.crashed && poolByWorkerId.get(worker.id).equals(pool));
   }
 
+  /** Adds a VM that is up, with a worker. */
+  public void addVm(String id, String pool) {
+    vmPlatform.orElseThrow().addVm(id, pool);
+  }
+
+  /** Returns how many VMs are in maintenance. */
+  public long vmsInMaintenance() {
+    return vmPlatform.orElseThrow().vmsInMaintenance();
+  }
+
+  /** Has the platform's lists lack a VM for {@code millis} ms. */
+  public void hideVm(String id, long millis) {
+    vmPlatform.orElseThrow().hideVm(id, millis);
+  }
+
   /** Returns how often each VM was taken down for maintenance. */
   public Map<String, Integer> maintenanceCountByVm() {
     return vmPlatform.orElseThrow().maintenanceCountByVm();
