--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -68,6 +68,9 @@
   private final Map<String, Long> retryAtMillis = new HashMap<>();
   private boolean commandPending;
 
+  /** The VM of the pending command, which counts as down; empty if no command is pending. */
+  private String commandedVm = "";
+
   /** When long-running tasks may first be stopped, monotonic ms. */
   private long stopsAllowedFromMillis;
 
@@ -101,6 +104,7 @@
   void reset() {
     generation++;
     commandPending = false;
+    commandedVm = "";
     retryAtMillis.clear();
     requestedWaves.clear();
     progressByWave.clear();
@@ -200,7 +204,10 @@
       progress.runningReported = true;
       actions.writeWaveStatus(progress.wave.number(), false);
     }
-    progress.downSinceMillis.keySet().removeIf(vm -> isUpOrUnlisted(progress, vm));
+    progress
+        .downSinceMillis
+        .keySet()
+        .removeIf(vm -> !vm.equals(commandedVm) && isUpOrUnlisted(progress, vm));
     List<String> remaining = progress.remainingVms();
     progress.departures.applyList(remaining, this::isListed, vmInventory.listRequestedMillis());
     if (remaining.stream().allMatch(progress.departures::hasLeft)) {
@@ -358,12 +365,16 @@
       return false;
     }
     commandPending = true;
+    commandedVm = vm;
     progress.downSinceMillis.put(vm, nowMillis);
     long sentGeneration = generation;
     Consumer<Either<CallFailure, VmReply>> onResponse =
         response -> {
           if (generation == sentGeneration) {
             commandPending = false;
+            commandedVm = "";
+            // The record of the command, which comes first, may have taken long.
+            progress.downSinceMillis.put(vm, clock.monotonicMillis());
             applyResponse(progress, vm, worker, response);
           }
         };
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
@@ -57,6 +57,9 @@
   /** How long a transaction occupies its partition, in ms; 0 if they do not wait for each other. */
   private int transactionMillis;
 
+  /** How much later transactions that write to a table are applied, in ms. */
+  private final Map<String, Integer> delayMillisByTable = new HashMap<>();
+
   /** When all transactions sent so far to a partition will have been applied, by partition. */
   private final Map<String, Long> busyUntilMillisByPartition = new HashMap<>();
 
@@ -89,6 +92,18 @@
     transactionMillis = millis;
   }
 
+  /** From now on applies transactions that write to {@code table} {@code millis} ms later. */
+  public void delayWrites(String table, int millis) {
+    delayMillisByTable.put(table, millis);
+  }
+
+  private int delayMillis(RowStore.Transaction transaction) {
+    return transaction.puts().stream()
+        .mapToInt(put -> delayMillisByTable.getOrDefault(put.key().table(), 0))
+        .max()
+        .orElse(0);
+  }
+
   /**
    * Lets long polls for changes hear nothing for {@code millis} ms, and then fail. All other calls
    * are answered.
@@ -260,7 +275,7 @@
             commitInTurn(transaction, done);
           } else {
             clock.runAfter(
-                COMMIT_LATENCY_MILLIS + random.nextInt(4),
+                COMMIT_LATENCY_MILLIS + random.nextInt(4) + delayMillis(transaction),
                 () -> {
                   Outcome outcome = commitAtomically(node, transaction);
                   clock.runAfter(1, () -> done.accept(outcome));
