--- a/scheduler/src/test/java/org/sassafraslink/scheduler/ForeignWorkerEntryTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/ForeignWorkerEntryTest.java
@@ -71,6 +71,24 @@
     }
   }
 
+  /** Guards against an entry that hides the worker with its id for good, since it seems later. */
+  @ParameterizedTest
+  @CsvSource({"m-w0, w0", "m-w0, nobody", "m-w1, w0", "m-w1, w1", "m-other, nobody"})
+  void workerUnderOverwrittenIdIsHiddenForGood(String vm, String addressOwner) {
+    for (int writtenMillis = 0; writtenMillis < 2_400; writtenMillis += 300) {
+      SimFleet fleet = SimFleet.start(SEED, /* nodeCount= */ 2, /* workerCount= */ 1);
+      fleet.runFor(3_000 + writtenMillis);
+      String own = fleet.workerEntry("w0");
+      new ForeignEntry("w0", SimFleet.POOL, vm, addressOwner, FAR_AHEAD_MILLIS, 0).writeTo(fleet);
+      fleet.runFor(HEARTBEAT_MILLIS);
+      fleet.rewriteWorkerEntry("w0", own);
+      fleet.submit("a", SimFleet.step(2, 1_000));
+      fleet.runFor(FINISH_MILLIS);
+      assertEquals(JobState.COMPLETED, fleet.checkedState("a").orElseThrow());
+      assertEquals(List.of(), fleet.guaranteeChecker.violations());
+    }
+  }
+
   @Property(tries = 400, seed = "20261205", shrinking = ShrinkingMode.BOUNDED)
   void noEntryHasTasksStartedAgain(@ForAll("entries") ForeignEntry entry) {
     assertTasksRunOnce(entry);
