--- a/entry/src/main/java/org/sassafraslink/entry/Main.java
+++ b/entry/src/main/java/org/sassafraslink/entry/Main.java
@@ -14,6 +14,8 @@
 import org.sassafraslink.entry.process.CdsTrainingRun;
 import org.sassafraslink.entry.process.EntryNode;
 import org.sassafraslink.entry.process.EventLogs;
+import org.sassafraslink.entry.process.FatalFailures;
+import org.sassafraslink.entry.process.ListenFailedException;
 import org.sassafraslink.platform.fleet.NodeSettingsFile;
 
 /** The main class of the daemon {@code sassafraslink-entry}. */
@@ -25,7 +27,8 @@
 
   /**
    * Starts the daemon if there are no arguments. Otherwise executes the given option and exits;
-   * {@code --help} lists the options. Exits with code 2 if the settings or the options are invalid.
+   * {@code --help} lists the options. Exits with code 2 if the settings or the options are invalid,
+   * and with code 3 if an address is in use or a thread ends by a failure.
    */
   public static void main(String[] args)
       throws ReflectiveOperationException, InterruptedException, IOException {
@@ -36,8 +39,17 @@
     Path file = settingsFile();
     NodeSettings settings = readSettings(file);
     EventLog log = EventLogs.create(settings.node());
+    FatalFailures failures =
+        FatalFailures.create(log, EventLogs::flush, Runtime.getRuntime()::halt);
+    failures.watchAllThreads();
     HangUpSignalHandler.install(() -> logSettingsValidity(file, log));
-    EntryNode node = EntryNode.start(settings, log, UUID.randomUUID().toString());
+    EntryNode node;
+    try {
+      node = EntryNode.start(settings, log, UUID.randomUUID().toString());
+    } catch (ListenFailedException e) {
+      failures.end(e.getMessage(), e.getCause());
+      return;
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
   }
 
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -1,8 +1,10 @@
 package org.sassafraslink.entry.process;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -140,15 +142,20 @@
    *
    * @param log receives the events; they are also counted as metrics
    * @param processId id of this process, different at each start
+   * @throws ListenFailedException if a server cannot listen on its address
    */
   public static EntryNode start(NodeSettings settings, EventLog log, String processId) {
     EntryNode node = new EntryNode(settings, log, processId);
-    node.leaseHolderConnection.listen(node.eventLoopGroup, settings.peerAddress());
-    node.callerServer.listen(node.eventLoopGroup, settings.callerAddress());
-    StatusServer.forReadiness(node::isReady)
-        .listen(node.eventLoopGroup, settings.readinessAddress());
-    StatusServer.forMetrics(node.metrics::prometheusText)
-        .listen(node.eventLoopGroup, settings.metricsAddress());
+    node.listen("server for entry VMs", settings.peerAddress(), node.leaseHolderConnection::listen);
+    node.listen("server for callers", settings.callerAddress(), node.callerServer::listen);
+    node.listen(
+        "readiness server",
+        settings.readinessAddress(),
+        StatusServer.forReadiness(node::isReady)::listen);
+    node.listen(
+        "metrics server",
+        settings.metricsAddress(),
+        StatusServer.forMetrics(node.metrics::prometheusText)::listen);
     node.schedulerThread.start(node.scheduler);
     node.eventLoopGroup.next().execute(node.configWatcher::start);
     log.log(
@@ -162,6 +169,18 @@
     return node;
   }
 
+  private void listen(
+      String server,
+      InetSocketAddress address,
+      BiConsumer<EventLoopGroup, InetSocketAddress> listener) {
+    try {
+      listener.accept(eventLoopGroup, address);
+    } catch (Exception e) {
+      // Netty throws the checked exception of a failed bind without declaring it.
+      throw new ListenFailedException(server, address, e);
+    }
+  }
+
   private static long jvmUptimeMillis() {
     return java.lang.management.ManagementFactory.getRuntimeMXBean().getUptime();
   }
--- a/entry/src/main/java/org/sassafraslink/entry/process/SchedulerThread.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/SchedulerThread.java
@@ -99,8 +99,8 @@
             this::processorNanos,
             isScheduling.getAsBoolean());
       } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        return;
+        // Nothing interrupts this thread on purpose; without it no job would start.
+        logFailure(e);
       } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
         logFailure(e);
       }
