Requests for tickets are gathered only in rounds that can send a call

A step that waits for tickets sorted its pool in each placement round, also while a call was pending. Not measured; the tests of AdviceStarvationTest pass.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/AdviceTicketCache.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/AdviceTicketCache.java
@@ -109,7 +109,7 @@
    * pool} have one for its step. Calls follow in {@link #callIfDue}.
    */
   void requestIfRequired(Task task, QueueConfig queue, List<Worker> pool, long nowMillis) {
-    if (queue.advice().isEmpty() || client.isEmpty()) {
+    if (queue.advice().isEmpty() || client.isEmpty() || !isCallAllowed(nowMillis)) {
       return;
     }
     StepKey key = StepKey.of(task);
@@ -131,12 +131,16 @@
    * unless a call is pending or has just failed.
    */
   void callIfDue(long nowMillis) {
-    if (!callPending && nowMillis >= nextCallMillis) {
+    if (isCallAllowed(nowMillis)) {
       chooseStep().ifPresent(step -> call(step, nowMillis));
     }
     waitingSteps.clear();
   }
 
+  private boolean isCallAllowed(long nowMillis) {
+    return !callPending && nowMillis >= nextCallMillis;
+  }
+
   private Optional<WaitingStep> chooseStep() {
     Optional<WaitingStep> firstNew =
         waitingSteps.values().stream().filter(step -> lastCallOf(step) == 0).findFirst();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/StepAdvice.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/StepAdvice.java
@@ -39,6 +39,9 @@
 
   /** Returns the usable tickets of {@code workers}, by worker id. */
   ImmutableMap<String, String> tickets(List<Worker> workers, long nowMillis) {
+    if (answers.isEmpty()) {
+      return ImmutableMap.of();
+    }
     ImmutableMap.Builder<String, String> tickets = ImmutableMap.builder();
     for (Worker worker : workers) {
       Answer answer = answers.get(WorkerIncarnation.of(worker));
