--- a/api/src/main/java/org/sassafraslink/api/fleet/JobSpec.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/JobSpec.java
@@ -1,6 +1,7 @@
 package org.sassafraslink.api.fleet;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 
 /**
  * A job as it was accepted from its submitter.
@@ -16,6 +17,8 @@
  * @param firstDueMillis when the first repetition is due, in Unix milliseconds
  * @param intervalMillis the time between two repetitions, in ms
  * @param acceptedMillis when an entry VM accepted the job, in Unix milliseconds
+ * @param queueTerms what the queue's configuration promised when the job was accepted; empty if an
+ *     earlier version accepted it, which did not store this
  */
 public record JobSpec(
     String id,
@@ -27,7 +30,26 @@
     int repetitions,
     long firstDueMillis,
     long intervalMillis,
-    long acceptedMillis) {
+    long acceptedMillis,
+    Optional<QueueTerms> queueTerms) {
+
+  /**
+   * The part of a queue's configuration that applies to its jobs. It is stored with each job, since
+   * the queue may be removed from the configuration before the job ends. See {@link QueueConfig}
+   * for the components.
+   */
+  public record QueueTerms(
+      int maxFailures,
+      double slackFactor,
+      long targetLatencyMillis,
+      Optional<QueueConfig.AdviceTimes> advice) {
+
+    /** Returns the terms of a queue. */
+    public static QueueTerms of(QueueConfig queue) {
+      return new QueueTerms(
+          queue.maxFailures(), queue.slackFactor(), queue.targetLatencyMillis(), queue.advice());
+    }
+  }
 
   /** Returns how many times the steps run, which is at least once. */
   public int occurrences() {
--- a/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
@@ -204,7 +204,18 @@
     }
     submittedJobs.put(
         id,
-        new JobSpec(id, pool, pool, "team", "payload", steps.build(), 0, 0, 0, clock.wallMillis()));
+        new JobSpec(
+            id,
+            pool,
+            pool,
+            "team",
+            "payload",
+            steps.build(),
+            0,
+            0,
+            0,
+            clock.wallMillis(),
+            Optional.empty()));
     store.put(JobRows.key(id, Kind.SUBMISSION), id);
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PublishedConfig.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PublishedConfig.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.JobSpec;
+import org.sassafraslink.api.fleet.JobSpec.QueueTerms;
 import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.Resources;
 
@@ -12,14 +13,16 @@
  * Holds the newest published configuration, and the last known configuration of each queue.
  *
  * <p>A job may still run when its queue has been removed from the configuration. The queue's last
- * configuration then applies to it.
+ * configuration then applies to it, or, after a restart, the terms that are stored with the job.
  */
 final class PublishedConfig {
-  // Defaults for a queue that no version of the configuration read by this process contains.
-  private static final int DEFAULT_MAX_FAILURES = 3;
-
-  private static final double DEFAULT_SLACK_FACTOR = 2;
-  private static final long DEFAULT_TARGET_LATENCY_MILLIS = 1_000;
+  /** For jobs that an earlier version accepted without storing the terms of their queue. */
+  private static final QueueTerms DEFAULT_TERMS =
+      new QueueTerms(
+          /* maxFailures= */ 3,
+          /* slackFactor= */ 2,
+          /* targetLatencyMillis= */ 1_000,
+          /* advice= */ Optional.empty());
 
   private final Map<String, QueueConfig> lastKnownQueues = new HashMap<>();
   private Optional<FleetSettings> settings = Optional.empty();
@@ -39,22 +42,27 @@
     return settings;
   }
 
-  /** Returns the last known configuration of a job's queue, or defaults if there is none. */
+  /**
+   * Returns the last known configuration of a job's queue. If no version that this process has read
+   * contains the queue, the terms apply under which the job was accepted.
+   */
   QueueConfig queueOf(JobSpec job) {
     QueueConfig knownQueue = lastKnownQueues.get(job.queue());
-    return knownQueue != null
-        ? knownQueue
-        : new QueueConfig(
-            job.queue(),
-            "",
-            "",
-            job.pool(),
-            false,
-            false,
-            DEFAULT_MAX_FAILURES,
-            DEFAULT_SLACK_FACTOR,
-            DEFAULT_TARGET_LATENCY_MILLIS,
-            Optional.empty());
+    if (knownQueue != null) {
+      return knownQueue;
+    }
+    QueueTerms terms = job.queueTerms().orElse(DEFAULT_TERMS);
+    return new QueueConfig(
+        job.queue(),
+        /* host= */ "",
+        /* pathPrefix= */ "",
+        job.pool(),
+        /* open= */ false,
+        /* urgent= */ false,
+        terms.maxFailures(),
+        terms.slackFactor(),
+        terms.targetLatencyMillis(),
+        terms.advice());
   }
 
   /** Returns a team's weight, which is also its rate in jobs per second; 0 if it is unknown. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -53,7 +54,8 @@
             /* repetitions= */ 0,
             /* firstDueMillis= */ 0,
             /* intervalMillis= */ 0,
-            /* acceptedMillis= */ 0);
+            /* acceptedMillis= */ 0,
+            /* queueTerms= */ Optional.empty());
     Job job = Job.create(spec, new TeamUsage("team"), /* nowMillis= */ 0);
     job.forEachTask(
         task -> {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
@@ -92,7 +92,8 @@
             /* repetitions= */ 0,
             /* firstDueMillis= */ 0,
             /* intervalMillis= */ 0,
-            acceptedMillis);
+            acceptedMillis,
+            /* queueTerms= */ Optional.empty());
     return Job.create(spec, new TeamUsage("team"), /* nowMillis= */ 0);
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -19,7 +19,9 @@
 import java.util.stream.Stream;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.failure.FailureType;
+import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.JobSpec;
+import org.sassafraslink.api.fleet.JobSpec.QueueTerms;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.RowStore;
@@ -46,6 +48,7 @@
   private static final String HOST_PREFIX = "worker-";
 
   final SimLayout layout;
+  private FleetSettings settings;
   public final SimClock clock = new SimClock();
   public final Random random;
   public final FakeRowStore rowStore;
@@ -76,6 +79,7 @@
 
   private SimFleet(long seed, SimLayout layout) {
     this.layout = layout;
+    this.settings = layout.settings();
     random = new Random(seed);
     guaranteeChecker = new GuaranteeChecker(clock);
     gangs = new SimGangs(clock, guaranteeChecker);
@@ -226,6 +230,17 @@
         .filter(worker -> !worker.crashed && poolByWorkerId.get(worker.id).equals(pool));
   }
 
+  /** Returns the configuration that was published last. */
+  public FleetSettings settings() {
+    return settings;
+  }
+
+  /** Publishes a configuration to all processes, also those that start later. */
+  public void publish(FleetSettings newest) {
+    settings = newest;
+    nodes.values().forEach(node -> node.applySettings(newest));
+  }
+
   /** Adds a VM that is up, with a worker. */
   public void addVm(String id, String pool) {
     vmPlatform.orElseThrow().addVm(id, pool);
@@ -316,7 +331,8 @@
             /* repetitions= */ 0,
             /* firstDueMillis= */ 0,
             /* intervalMillis= */ 0,
-            clock.nowMillis());
+            clock.nowMillis(),
+            Optional.of(QueueTerms.of(settings.queues().get(queue))));
     submittedJobs.put(id, job);
     guaranteeChecker.onSubmitted(job);
     RowKey key = JobRows.key(id, Kind.SUBMISSION);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -11,6 +11,7 @@
 import org.sassafraslink.api.fleet.AdviceClient;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.TaskId;
 import org.sassafraslink.api.fleet.VmClient;
@@ -108,7 +109,7 @@
                 /* unavailabilityThresholdMillis= */ 4_500,
                 /* maxBackfillImpactMillis= */ 4_000),
             new SimLeaseHolderWatch());
-    scheduler.onConfig(fleet.layout.settings());
+    scheduler.onConfig(fleet.settings());
   }
 
   /**
@@ -146,6 +147,10 @@
     }
   }
 
+  void applySettings(FleetSettings settings) {
+    wrapCallback(ignored -> scheduler.onConfig(settings)).accept(null);
+  }
+
   void start() {
     fleet.clock.runAfter(RUN_INTERVAL_MILLIS, this::runSchedulerAndReschedule);
   }
