--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -80,17 +80,17 @@
 
   private WorkerLease lease;
 
-  private ReplacementClaim replacementClaim = ReplacementClaim.NONE;
+  private ReplacementSuspicion replacementSuspicion = ReplacementSuspicion.NONE;
 
-  /** When the last claim of a replacement was made, monotonic ms. */
-  private long replacementClaimedMillis;
+  /** When a replacement was last suspected, monotonic ms. */
+  private long replacementSuspectedMillis;
 
-  /** Whether the entry of another worker claims that this incarnation has been replaced. */
-  private enum ReplacementClaim {
+  /** Whether the entry of another worker suggests that this incarnation has been replaced. */
+  private enum ReplacementSuspicion {
     NONE,
-    /** Claimed, and this worker has not been asked since. */
+    /** Suspected, and this worker has not been asked since. */
     TO_BE_CHECKED,
-    /** Claimed, and no response to a later request has shown yet whether it is true. */
+    /** Suspected, and no response to a later request has shown yet whether it is true. */
     BEING_CHECKED
   }
 
@@ -124,28 +124,28 @@
    * written that entry, so the worker is asked, and runs its tasks until its own response, or the
    * lack of one until its lease has expired, shows that it has ended.
    */
-  void claimReplacement(long nowMillis) {
-    replacementClaim = ReplacementClaim.TO_BE_CHECKED;
-    replacementClaimedMillis = nowMillis;
+  void suspectReplacement(long nowMillis) {
+    replacementSuspicion = ReplacementSuspicion.TO_BE_CHECKED;
+    replacementSuspectedMillis = nowMillis;
   }
 
-  boolean isReplacementClaimed() {
-    return replacementClaim != ReplacementClaim.NONE;
+  boolean isReplacementSuspected() {
+    return replacementSuspicion != ReplacementSuspicion.NONE;
   }
 
-  /** Returns whether a request must be sent at once to check a claim, and records it as sent. */
+  /** Returns whether a request must be sent at once to check this, and records it as sent. */
   boolean beginReplacementCheck() {
-    boolean isDue = replacementClaim == ReplacementClaim.TO_BE_CHECKED;
+    boolean isDue = replacementSuspicion == ReplacementSuspicion.TO_BE_CHECKED;
     if (isDue) {
-      replacementClaim = ReplacementClaim.BEING_CHECKED;
+      replacementSuspicion = ReplacementSuspicion.BEING_CHECKED;
     }
     return isDue;
   }
 
-  /** Drops a claim that a response of this incarnation to a later request has disproved. */
-  void dropDisprovedClaim(long requestSentMillis) {
-    if (requestSentMillis >= replacementClaimedMillis) {
-      replacementClaim = ReplacementClaim.NONE;
+  /** Ends a suspicion that a response of this incarnation to a later request has disproved. */
+  void endDisprovedSuspicion(long requestSentMillis) {
+    if (requestSentMillis >= replacementSuspectedMillis) {
+      replacementSuspicion = ReplacementSuspicion.NONE;
     }
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
@@ -28,7 +28,7 @@
     return worker.listed
         && worker.hasReported
         && !worker.ended
-        && !worker.isReplacementClaimed()
+        && !worker.isReplacementSuspected()
         && !worker.entry.draining()
         && worker.cordonReason.isEmpty()
         && worker.consecutiveCallFailures == 0
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -130,7 +130,8 @@
     }
     boolean hasTasks = !worker.isEmpty();
     boolean hasUnacknowledgedEnds = worker.lastCommittedEnd > worker.lastAcknowledgedEnd;
-    boolean hasToRespond = worker.listed && (!worker.hasReported || worker.isReplacementClaimed());
+    boolean hasToRespond =
+        worker.listed && (!worker.hasReported || worker.isReplacementSuspected());
     if (hasTasks || hasUnacknowledgedEnds || hasToRespond) {
       sendReportRequest(
           worker,
@@ -197,7 +198,7 @@
           worker.consecutiveCallFailures);
     }
     worker.recordResponse(report.clockMillis(), now);
-    worker.dropDisprovedClaim(sentMillis);
+    worker.endDisprovedSuspicion(sentMillis);
     worker.lastAcknowledgedEnd = Math.max(worker.lastAcknowledgedEnd, acknowledgedEnd);
     listener.onReport(worker, report, sentMillis);
     worker.hasReported = true;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -298,10 +298,10 @@
         entry.rack(),
         "draining",
         entry.draining());
-    claimReplacements(worker);
+    suspectReplacements(worker);
   }
 
-  private void claimReplacements(Worker worker) {
+  private void suspectReplacements(Worker worker) {
     WorkerEntry entry = worker.entry;
     // Not through the index, which each registration of a full read would have to build again.
     List<Worker> others = new ArrayList<>(workersById.values());
@@ -309,13 +309,13 @@
     for (Worker other : others) {
       boolean hasSameVm = !entry.vm().isEmpty() && other.entry.vm().equals(entry.vm());
       boolean hasSameAddress = other.entry.address().equals(entry.address());
-      boolean isClaim =
+      boolean isPossiblyReplaced =
           !other.entry.id().equals(entry.id())
               && (hasSameVm || hasSameAddress)
               && other.entry.incarnation() < entry.incarnation();
-      if (isClaim) {
+      if (isPossiblyReplaced) {
         log.log(
-            "worker.replacement_claimed",
+            "worker.replacement_suspected",
             "worker",
             other.entry.id(),
             "incarnation",
@@ -328,7 +328,7 @@
             hasSameAddress,
             "tasks",
             other.tasks().size());
-        other.claimReplacement(clock.monotonicMillis());
+        other.suspectReplacement(clock.monotonicMillis());
       }
     }
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/AdviceStarvationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/AdviceStarvationTest.java
@@ -25,7 +25,7 @@
  */
 final class AdviceStarvationTest {
   private static final long SEED = 20261205;
-  private static final String HOPELESS = "hopeless";
+  private static final String FORBIDDEN = "forbidden";
 
   /** The platform's pages ask for a job's start within this time, in ms. */
   private static final int FINISH_MILLIS = 14_000;
@@ -54,11 +54,11 @@
     "10, PLAIN",
     "50, PLAIN"
   })
-  void jobThatNoWorkerMayRunStopsAllOthers(int hopelessJobs, StepKind kind) {
+  void jobThatNoWorkerMayRunStopsAllOthers(int forbiddenJobs, StepKind kind) {
     SimFleet fleet = fleet(6);
-    fleet.advicePolicy = (job, worker) -> !job.startsWith(HOPELESS);
-    for (int i = 0; i < hopelessJobs; i++) {
-      submit(fleet, HOPELESS + i, TestJobs.step(1, 1_000, 1_000, kind, 0));
+    fleet.advicePolicy = (job, worker) -> !job.startsWith(FORBIDDEN);
+    for (int i = 0; i < forbiddenJobs; i++) {
+      submit(fleet, FORBIDDEN + i, TestJobs.step(1, 1_000, 1_000, kind, 0));
     }
     fleet.runFor(1_000);
     List<String> jobs = List.of("a", "b", "c");
@@ -94,7 +94,7 @@
   void everyJobThatSomeWorkerMayRunIsDone(
       @ForAll @IntRange(min = 1, max = 30) int workers,
       @ForAll @IntRange(min = 1, max = 12) int jobs,
-      @ForAll Set<@IntRange(min = 0, max = 11) Integer> hopeless,
+      @ForAll Set<@IntRange(min = 0, max = 11) Integer> forbidden,
       @ForAll @IntRange(min = 1, max = 7) int spread) {
     SimFleet fleet = fleet(workers);
     // Each job may run on every spread-th worker, and at least on one.
@@ -102,17 +102,17 @@
         (job, worker) -> {
           int number = Integer.parseInt(job.substring(1));
           int index = Integer.parseInt(worker.substring(1));
-          return !hopeless.contains(number)
+          return !forbidden.contains(number)
               && (index == number % workers || (index + number) % spread == 0);
         };
     for (int i = 0; i < jobs; i++) {
-      StepKind kind = hopeless.contains(i) && i % 2 == 0 ? StepKind.LONG_RUNNING : StepKind.PLAIN;
+      StepKind kind = forbidden.contains(i) && i % 2 == 0 ? StepKind.LONG_RUNNING : StepKind.PLAIN;
       submit(fleet, "j" + i, TestJobs.step(2, 1_000, 500, kind, 0));
       fleet.runFor(50);
     }
     fleet.runFor(FINISH_MILLIS);
     IntStream.range(0, jobs)
-        .filter(i -> !hopeless.contains(i))
+        .filter(i -> !forbidden.contains(i))
         .forEach(i -> assertCompleted(fleet, "j" + i));
     assertTrue(fleet.guaranteeChecker.violations().isEmpty());
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimGangs.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimGangs.java
@@ -18,7 +18,7 @@
   private static final int SAVE_DELAY_MILLIS = 70;
 
   /** After this time without the others, or with unequal checkpoints, a member ends, in ms. */
-  private static final int ALONE_MILLIS = 3_000;
+  private static final int MAX_WAIT_MILLIS = 3_000;
 
   private record RunId(String job, int occurrence, int step, int attempt) {
     static RunId of(TaskId task, int attempt) {
@@ -87,7 +87,7 @@
       clock.runAfter(remainingMillis, () -> endAll(run, EndKind.DONE));
     }
     clock.runAfter(
-        ALONE_MILLIS,
+        MAX_WAIT_MILLIS,
         () -> {
           if (run.workingSinceMillis == 0 && run.members.get(task) == member) {
             member.end.accept(EndKind.GANG_INCOMPLETE);
