A worker that was replaced on its VM does not count to its pool

Cause: since entries end no incarnation any more, a worker whose VM has another one now stayed listed until its entry was deleted, and the pool seemed to have its capacity. Of the two entries, the earlier one was noticed only if it was read first, before the change as well.

Change: a worker whose replacement is suspected counts to no pool until it has responded, whichever entry was read first.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolUsage.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolUsage.java
@@ -41,7 +41,7 @@
   static ImmutableMap<String, PoolUsage> byPool(Iterable<Worker> workers) {
     Map<String, PoolUsage> usageByPool = new HashMap<>();
     for (Worker worker : workers) {
-      if (worker.listed && !worker.ended) {
+      if (worker.isInPool()) {
         String pool = worker.entry.pool();
         usageByPool.put(pool, usageByPool.getOrDefault(pool, EMPTY).plus(worker));
       }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -142,11 +142,22 @@
     return isDue;
   }
 
-  /** Ends a suspicion that a response of this incarnation to a later request has disproved. */
-  void endDisprovedSuspicion(long requestSentMillis) {
-    if (requestSentMillis >= replacementSuspectedMillis) {
+  /**
+   * Ends the suspicion, if any, that a response of this incarnation has disproved, and returns
+   * whether there was one.
+   */
+  boolean endDisprovedSuspicion(long requestSentMillis) {
+    boolean isDisproved =
+        isReplacementSuspected() && requestSentMillis >= replacementSuspectedMillis;
+    if (isDisproved) {
       replacementSuspicion = ReplacementSuspicion.NONE;
     }
+    return isDisproved;
+  }
+
+  /** Returns whether it provides capacity to the pool of its entry, as far as is known. */
+  boolean isInPool() {
+    return listed && !ended && !isReplacementSuspected();
   }
 
   /** Records a response with the worker's clock, which also ends a series of failed requests. */
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerIndex.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerIndex.java
@@ -35,7 +35,7 @@
     ImmutableListMultimap.Builder<String, Worker> byPool = ImmutableListMultimap.builder();
     ImmutableListMultimap.Builder<String, Worker> byVm = ImmutableListMultimap.builder();
     for (Worker worker : registered) {
-      if (worker.listed && !worker.ended) {
+      if (worker.isInPool()) {
         byPool.put(worker.entry.pool(), worker);
       }
       if (worker.listed) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -198,7 +198,6 @@
           worker.consecutiveCallFailures);
     }
     worker.recordResponse(report.clockMillis(), now);
-    worker.endDisprovedSuspicion(sentMillis);
     worker.lastAcknowledgedEnd = Math.max(worker.lastAcknowledgedEnd, acknowledgedEnd);
     listener.onReport(worker, report, sentMillis);
     worker.hasReported = true;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -301,38 +301,47 @@
     suspectReplacements(worker);
   }
 
+  /**
+   * Has the workers asked whose VM or address a later incarnation has by its entry, among them
+   * {@code worker}, which was just registered.
+   */
   private void suspectReplacements(Worker worker) {
     WorkerEntry entry = worker.entry;
     // Not through the index, which each registration of a full read would have to build again.
     List<Worker> others = new ArrayList<>(workersById.values());
     others.addAll(detachedWorkers);
     for (Worker other : others) {
-      boolean hasSameVm = !entry.vm().isEmpty() && other.entry.vm().equals(entry.vm());
-      boolean hasSameAddress = other.entry.address().equals(entry.address());
-      boolean isPossiblyReplaced =
+      boolean hasSamePlace =
           !other.entry.id().equals(entry.id())
-              && (hasSameVm || hasSameAddress)
-              && other.entry.incarnation() < entry.incarnation();
-      if (isPossiblyReplaced) {
-        log.log(
-            "worker.replacement_suspected",
-            "worker",
-            other.entry.id(),
-            "incarnation",
-            other.entry.incarnation(),
-            "by",
-            entry.id(),
-            "newIncarnation",
-            entry.incarnation(),
-            "sameAddress",
-            hasSameAddress,
-            "tasks",
-            other.tasks().size());
-        other.suspectReplacement(clock.monotonicMillis());
+              && ((!entry.vm().isEmpty() && other.entry.vm().equals(entry.vm()))
+                  || other.entry.address().equals(entry.address()));
+      if (hasSamePlace && other.entry.incarnation() < entry.incarnation()) {
+        suspectReplacement(other, worker);
+      } else if (hasSamePlace && other.listed) {
+        suspectReplacement(worker, other);
       }
     }
   }
 
+  private void suspectReplacement(Worker earlier, Worker later) {
+    log.log(
+        "worker.replacement_suspected",
+        "worker",
+        earlier.entry.id(),
+        "incarnation",
+        earlier.entry.incarnation(),
+        "by",
+        later.entry.id(),
+        "newIncarnation",
+        later.entry.incarnation(),
+        "sameAddress",
+        earlier.entry.address().equals(later.entry.address()),
+        "tasks",
+        earlier.tasks().size());
+    earlier.suspectReplacement(clock.monotonicMillis());
+    index = null;
+  }
+
   /**
    * Applies that a worker has responded as an incarnation, and registers this incarnation if the
    * list shows another one. The tasks of its earlier incarnations are moved to it.
@@ -354,6 +363,9 @@
       moveTasks(registered, confirmed);
     }
     confirmed.confirmed = true;
+    if (confirmed.endDisprovedSuspicion(sentMillis)) {
+      index = null;
+    }
     for (Worker other : List.copyOf(detachedWorkers)) {
       boolean isEarlier =
           other.entry.id().equals(confirmed.entry.id())
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
@@ -12,6 +13,8 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
@@ -77,7 +80,10 @@
     }
   }
 
-  /** Decodes a worker of the pool that the value names, and fails for {@link #ODD_ENTRY}. */
+  /**
+   * Decodes a worker from a value of pool and, if given, VM and incarnation, and fails for {@link
+   * #ODD_ENTRY}.
+   */
   private static final class Formats implements RowFormats {
     @Override
     public String workerTable() {
@@ -90,14 +96,15 @@
         throw new IllegalArgumentException("thrown by the test");
       }
       String id = row.key().key();
+      List<String> values = Splitter.on(' ').splitToList(row.value());
       return Optional.of(
           new WorkerEntry(
               id,
-              /* incarnation= */ 1,
-              row.value(),
+              values.size() > 2 ? Long.parseLong(values.get(2)) : 1,
+              values.get(0),
               InetSocketAddress.createUnresolved(id, 1),
               "zone",
-              "m-" + id,
+              values.size() > 1 ? values.get(1) : "m-" + id,
               "rack",
               ImmutableList.of(),
               TestWorkers.CAPACITY,
@@ -168,4 +175,15 @@
     answerRead("w1", "a");
     assertEquals(List.of("w0", "w1"), listed());
   }
+
+  /** Guards against capacity that a pool seems to have on a VM that has another worker now. */
+  @ParameterizedTest
+  @CsvSource({"w0, w1", "w1, w0"})
+  void workerThatWasReplacedOnItsVmCountsToItsPool(String earlier, String later) {
+    answerRead(earlier, "a vm 1", later, "b vm 2");
+    assertEquals(List.of(later), listed());
+    Worker alive = registry.findById(earlier).orElseThrow();
+    registry.confirmIncarnation(alive, /* incarnation= */ 1, /* sentMillis= */ nowMillis);
+    assertEquals(List.of("w0", "w1"), listed());
+  }
 }
