--- a/scheduler/src/test/java/org/sassafraslink/scheduler/AdviceStarvationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/AdviceStarvationTest.java
@@ -27,7 +27,7 @@
   private static final long SEED = 20261205;
   private static final String FORBIDDEN = "forbidden";
 
-  /** The platform's pages ask for a job's start within this time, in ms. */
+  /** Time within which jobs that some worker may run must be completed, in ms. */
   private static final int FINISH_MILLIS = 14_000;
 
   private static SimFleet fleet(int workerCount) {
