VMs pause from the last time at which a command may be sent

Callers saw a peak that waited for VMs: after each change of scheduler, every VM that was commanded in the predecessor's last 3.3 s got no command for 3.3 s from the takeover on, although the predecessor had been silent for most of that time already.

The row of commanded VMs now holds, by the store's clock, until when a command may be sent. The sender checks that time on both clocks right before the request is written, and the successor counts the pause from it. Rows of the previous version, and times that are missing, keep the pause from the takeover; a damaged row pauses all VMs (before, it ended the read with an exception and paused none).

--- a/api/src/main/java/org/sassafraslink/api/fleet/RowStore.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/RowStore.java
@@ -14,6 +14,9 @@
   /** The version in an {@link Expectation} that requires the row to be absent. */
   long ABSENT = 0;
 
+  /** The time in a response that did not name the time of the store's clock. */
+  long UNKNOWN_TIME = -1;
+
   /**
    * The identity of a row.
    *
@@ -49,8 +52,18 @@
 
   /** The outcome of a {@link Transaction}. */
   sealed interface Outcome {
-    /** The transaction took effect; all rows that it wrote have {@code version}. */
-    record Committed(long version) implements Outcome {}
+    /**
+     * The transaction took effect; all rows that it wrote have {@code version}.
+     *
+     * @param storeMillis the time of the store's clock in the response, in ms, or {@link
+     *     #UNKNOWN_TIME}
+     */
+    record Committed(long version, long storeMillis) implements Outcome {
+      /** Creates an outcome without the time of the store's clock. */
+      public Committed(long version) {
+        this(version, UNKNOWN_TIME);
+      }
+    }
 
     /**
      * An expectation did not hold, so nothing was written.
@@ -73,8 +86,15 @@
    *
    * @param hasMore whether there are more rows to read
    * @param version the newest version in the whole store at the time of the snapshot
+   * @param storeMillis the time of the store's clock in the response, in ms, or {@link
+   *     #UNKNOWN_TIME}; the clock never jumps
    */
-  record Rows(ImmutableList<StoredRow> rows, boolean hasMore, long version) {}
+  record Rows(ImmutableList<StoredRow> rows, boolean hasMore, long version, long storeMillis) {
+    /** Creates a snapshot without the time of the store's clock. */
+    public Rows(ImmutableList<StoredRow> rows, boolean hasMore, long version) {
+      this(rows, hasMore, version, UNKNOWN_TIME);
+    }
+  }
 
   /** Commits a transaction. */
   void commit(Transaction transaction, Consumer<Outcome> callback);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -380,13 +380,11 @@
         };
     vmCommandLog.recordVm(
         vm,
-        isRecorded -> {
-          if (isRecorded && lease.isValid()) {
-            vmClient.startMaintenance(vm, progress.wave.number(), lease.authority(), onResponse);
-          } else {
-            onResponse.accept(Either.left(CallFailure.NOT_PERFORMED));
-          }
-        });
+        authority ->
+            authority.ifPresentOrElse(
+                granted ->
+                    vmClient.startMaintenance(vm, progress.wave.number(), granted, onResponse),
+                () -> onResponse.accept(Either.left(CallFailure.NOT_PERFORMED))));
     return true;
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/ResponseTrackingRowStore.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/ResponseTrackingRowStore.java
@@ -1,12 +1,16 @@
 package org.sassafraslink.scheduler;
 
 import io.vavr.control.Either;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
 
-/** A {@link RowStore} that records when the store last responded to a call without a failure. */
+/**
+ * A {@link RowStore} that records when the store last responded to a call without a failure, and
+ * the time that the store's clock showed.
+ */
 public final class ResponseTrackingRowStore implements RowStore {
   private final RowStore store;
   private final FleetClock clock;
@@ -14,6 +18,8 @@
   /** Volatile, since threads other than the one that makes the calls read it. */
   private volatile long lastResponseMillis;
 
+  private Optional<StoreTime> storeTime = Optional.empty();
+
   /** Creates a wrapper of {@code store}; its construction counts as the first response. */
   public ResponseTrackingRowStore(RowStore store, FleetClock clock) {
     this.store = store;
@@ -26,21 +32,41 @@
     return lastResponseMillis;
   }
 
+  /**
+   * Returns the latest reading of the store's clock; empty if the store has not told its time. Must
+   * be called on the thread that runs the callbacks.
+   */
+  Optional<StoreTime> storeTime() {
+    return storeTime;
+  }
+
   @Override
   public void commit(Transaction transaction, Consumer<Outcome> done) {
+    long sentMillis = clock.monotonicMillis();
+    long sentWallMillis = clock.wallMillis();
     store.commit(
         transaction,
         outcome -> {
           if (!(outcome instanceof Outcome.Failed)) {
             lastResponseMillis = clock.monotonicMillis();
           }
+          if (outcome instanceof Outcome.Committed committed) {
+            recordStoreTime(committed.storeMillis(), sentMillis, sentWallMillis);
+          }
           done.accept(outcome);
         });
   }
 
   @Override
   public void read(Range range, Consumer<Either<CallFailure, Rows>> done) {
-    store.read(range, result -> done.accept(recordIfSuccessful(result)));
+    long sentMillis = clock.monotonicMillis();
+    long sentWallMillis = clock.wallMillis();
+    store.read(
+        range,
+        result -> {
+          result.forEach(rows -> recordStoreTime(rows.storeMillis(), sentMillis, sentWallMillis));
+          done.accept(recordIfSuccessful(result));
+        });
   }
 
   @Override
@@ -50,6 +76,15 @@
         table, version, waitMillis, result -> done.accept(recordIfSuccessful(result)));
   }
 
+  private void recordStoreTime(long storeMillis, long sentMillis, long sentWallMillis) {
+    boolean isLater = storeTime.map(time -> time.sentMillis() <= sentMillis).orElse(true);
+    if (storeMillis != UNKNOWN_TIME && isLater) {
+      storeTime =
+          Optional.of(
+              new StoreTime(storeMillis, sentMillis, sentWallMillis, clock.monotonicMillis()));
+    }
+  }
+
   private Either<CallFailure, Rows> recordIfSuccessful(Either<CallFailure, Rows> result) {
     if (result.isRight()) {
       lastResponseMillis = clock.monotonicMillis();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -142,16 +142,7 @@
     PoolDemand poolDemand = new PoolDemand(demandRate);
     this.vmMover =
         new VmMover(
-            vmClient,
-            clock,
-            log,
-            lease,
-            settings,
-            workers,
-            config,
-            vmInventory,
-            commandLog,
-            actions);
+            vmClient, clock, log, settings, workers, config, vmInventory, commandLog, actions);
     this.autoscaler =
         new PoolAutoscaler(
             log,
@@ -241,6 +232,8 @@
       return;
     }
     workers.pollIfDue(now, vmMover.hasOverdueMove(now));
+    // Its row is guarded by the lease itself, so it needs no fence.
+    commandLog.readOrWriteIfDue(now);
     fences.writeIfDue(now);
     // Until then a predecessor may still change the rows of jobs.
     if (!fences.areWritten()) {
@@ -258,7 +251,6 @@
       leaseRenewer.renewIfDue(worker, now);
     }
     commandSender.resendIfDue(now);
-    commandLog.readOrWriteIfDue(now);
     maintenance.advanceWaves(placement.backlog(), autoscaler.isAnyPoolGrowing(), now);
     commandSender.stopLongRunningOnDraining(workers.all());
     placementRounds.placeIfDue(now);
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/StoreTime.java
@@ -0,0 +1,45 @@
+package org.sassafraslink.scheduler;
+
+/**
+ * A reading of the row store's clock, from which a process bounds when that clock passes a time.
+ *
+ * <p>The store read its clock between the sending of a request and the arrival of the response. Its
+ * clock and the clocks of an entry VM may differ in rate by {@link #MAX_RATE_DIFFERENCE}.
+ *
+ * @param storeMillis the time of the store's clock, in ms
+ * @param sentMillis when the request was sent, monotonic ms
+ * @param sentWallMillis when the request was sent, Unix ms
+ * @param receivedMillis when the response arrived, monotonic ms
+ */
+record StoreTime(long storeMillis, long sentMillis, long sentWallMillis, long receivedMillis) {
+  /** Bound on the relative difference between the rates of two clocks. */
+  static final double MAX_RATE_DIFFERENCE = 0.02;
+
+  /**
+   * Returns a time that the store's clock has reached by {@code nowMillis}, monotonic ms, but for
+   * the difference in rate.
+   */
+  long reachedAt(long nowMillis) {
+    return storeMillis + nowMillis - receivedMillis;
+  }
+
+  /** Returns the monotonic time until which the store's clock is certainly before a time. */
+  long certainlyBeforeUntilMillis(long untilStoreMillis) {
+    return sentMillis + minElapsedMillis(untilStoreMillis);
+  }
+
+  /** Returns the wall-clock time until which the store's clock is certainly before a time. */
+  long certainlyBeforeUntilWallMillis(long untilStoreMillis) {
+    return sentWallMillis + minElapsedMillis(untilStoreMillis);
+  }
+
+  /** Returns the monotonic time from which on the store's clock has certainly passed a time. */
+  long certainlyPassedFromMillis(long passedStoreMillis) {
+    double elapsedMillis = (passedStoreMillis - storeMillis) * (1 + MAX_RATE_DIFFERENCE);
+    return receivedMillis + Math.max(0, (long) Math.ceil(elapsedMillis));
+  }
+
+  private long minElapsedMillis(long untilStoreMillis) {
+    return (long) Math.floor((untilStoreMillis - storeMillis) / (1 + MAX_RATE_DIFFERENCE));
+  }
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
@@ -1,22 +1,18 @@
 package org.sassafraslink.scheduler;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Iterables;
+import com.google.common.collect.Maps;
 import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
-import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.RowStore.Outcome;
 import org.sassafraslink.api.fleet.RowStore.Put;
 import org.sassafraslink.api.fleet.RowStore.Range;
@@ -24,16 +20,18 @@
 import org.sassafraslink.api.fleet.RowStore.Rows;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.RowStore.Transaction;
+import org.sassafraslink.api.fleet.VmClient.Authority;
 import org.sassafraslink.api.log.EventLog;
 
 /**
- * Records in a row which VMs are about to get a command (a move or maintenance), before the command
- * is sent.
+ * Records in a row to which VMs a command (a move or maintenance) may be sent and until when,
+ * before the command is sent.
  *
  * <p>The platform does not check fencing tokens on commands to VMs, so commands of two schedulers
- * must be separated by a pause. With this row, the next scheduler pauses only for VMs to which its
- * predecessor may have sent a command recently, and can send commands to all others at once: pools
- * need VMs most after a failure.
+ * must be separated by a pause. The row holds, by the store's clock, until when a command may still
+ * be sent; the sender sends none later. The next scheduler sends commands to these VMs once the
+ * store's clock has passed that time by the pause, and to all others at once: pools need VMs most
+ * after a failure. That holds whether or not its predecessor knows that it was replaced.
  */
 final class VmCommandLog {
   /**
@@ -42,26 +40,37 @@
    */
   private static final RowKey KEY = new RowKey("vm-commands", JobRows.MAIN_PARTITION, "orders");
 
-  /** Where the previous version recorded its commands. */
-  private static final RowKey PREVIOUS_VERSION_KEY =
+  /** Where an earlier version recorded its commands. */
+  private static final RowKey EARLIER_VERSION_KEY =
       new RowKey("control", JobRows.MAIN_PARTITION, "orders");
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
-
-  /** Added to the pause that the platform requires, in ms, because clocks differ in rate. */
+  /** Added to the pause that the platform requires, in ms, for the transfer of a command. */
   private static final long PAUSE_MARGIN_MILLIS = 300;
 
+  /** How long commands to a VM may be sent after its record at least, in ms. */
+  private static final long MIN_SENDING_MILLIS = 400;
+
+  /** How long commands to a VM may be sent after its record at most, in ms. */
+  private static final long MAX_SENDING_MILLIS = SchedulerLease.LEASE_MILLIS;
+
   /** Delay after a failed call to the store, in ms. */
   private static final long RETRY_DELAY_MILLIS = 150;
 
-  private final RowStore store;
+  /**
+   * A VM in the row.
+   *
+   * @param untilStoreMillis as in {@link VmCommandRow}
+   * @param keptUntilMillis until when the VM must be kept in the row, monotonic ms
+   */
+  private record RecordedVm(long untilStoreMillis, long keptUntilMillis) {}
+
+  private final ResponseTrackingRowStore store;
   private final FleetClock clock;
   private final EventLog log;
   private final SchedulerLease lease;
   private final long pauseMillis;
 
-  /** VMs in the row, each with the time until which it must be kept there, monotonic ms. */
-  private final Map<String, Long> recordedUntilMillis = new HashMap<>();
+  private final Map<String, RecordedVm> recordedVms = new TreeMap<>();
 
   /**
    * VMs to which an earlier scheduler may have sent a command, each with the end of its pause,
@@ -69,18 +78,28 @@
    */
   private final Map<String, Long> pausedUntilMillis = new HashMap<>();
 
+  /** Until when no VM may get a command, because a row was not readable, monotonic ms. */
+  private long allPausedUntilMillis;
+
   /** VMs to be added to the row by the next write, each with the callback for the result. */
-  private Map<String, Consumer<Boolean>> callbacksByVm = new LinkedHashMap<>();
+  private Map<String, Consumer<Optional<Authority>>> callbacksByVm = new LinkedHashMap<>();
 
   private boolean loaded;
   private boolean callPending;
   private long nextCallMillis;
 
+  /** How long the last write of the row took, in ms. */
+  private long lastWriteMillis;
+
   /** Incremented by each reset; responses to requests from before it are ignored. */
   private long generation;
 
   VmCommandLog(
-      RowStore store, FleetClock clock, EventLog log, SchedulerLease lease, long pauseMillis) {
+      ResponseTrackingRowStore store,
+      FleetClock clock,
+      EventLog log,
+      SchedulerLease lease,
+      long pauseMillis) {
     this.store = store;
     this.clock = clock;
     this.log = log;
@@ -94,8 +113,10 @@
     loaded = false;
     callPending = false;
     nextCallMillis = 0;
-    recordedUntilMillis.clear();
+    lastWriteMillis = 0;
+    recordedVms.clear();
     pausedUntilMillis.clear();
+    allPausedUntilMillis = Long.MIN_VALUE;
     callbacksByVm.clear();
   }
 
@@ -104,14 +125,16 @@
    * this VM, if any, is over.
    */
   boolean maySendCommand(String vm, long nowMillis) {
-    return loaded && nowMillis >= pausedUntilMillis.getOrDefault(vm, Long.MIN_VALUE);
+    return loaded
+        && nowMillis >= allPausedUntilMillis
+        && nowMillis >= pausedUntilMillis.getOrDefault(vm, Long.MIN_VALUE);
   }
 
   /**
-   * Adds a VM to the row. {@code onRecorded} receives whether the row was stored; the command may
-   * be sent only if it was.
+   * Adds a VM to the row. {@code onRecorded} receives the authority for one command to the VM;
+   * empty if the row was not stored, so that no command may be sent.
    */
-  void recordVm(String vm, Consumer<Boolean> onRecorded) {
+  void recordVm(String vm, Consumer<Optional<Authority>> onRecorded) {
     callbacksByVm.put(vm, onRecorded);
     write();
   }
@@ -138,11 +161,11 @@
         rangeOf(KEY),
         rows ->
             store.read(
-                rangeOf(PREVIOUS_VERSION_KEY),
-                previousVersionRows -> {
+                rangeOf(EARLIER_VERSION_KEY),
+                earlierVersionRows -> {
                   if (generation == sentGeneration) {
                     callPending = false;
-                    applyRead(rows, previousVersionRows, nowMillis);
+                    applyRead(rows, earlierVersionRows, nowMillis);
                   }
                 }));
   }
@@ -153,21 +176,64 @@
 
   private void applyRead(
       Either<CallFailure, Rows> rows,
-      Either<CallFailure, Rows> previousVersionRows,
+      Either<CallFailure, Rows> earlierVersionRows,
       long nowMillis) {
-    if (rows.isLeft() || previousVersionRows.isLeft()) {
+    if (rows.isLeft() || earlierVersionRows.isLeft()) {
       nextCallMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
       return;
     }
     loaded = true;
-    for (StoredRow row : Iterables.concat(rows.get().rows(), previousVersionRows.get().rows())) {
-      for (String vm : decode(row.value())) {
-        pausedUntilMillis.put(vm, nowMillis + pauseMillis);
-        recordedUntilMillis.put(vm, nowMillis + pauseMillis);
-      }
+    for (StoredRow row : Iterables.concat(rows.get().rows(), earlierVersionRows.get().rows())) {
+      VmCommandRow.decode(row.value())
+          .ifPresentOrElse(
+              decoded ->
+                  decoded
+                      .untilStoreMillisByVm()
+                      .forEach((vm, until) -> pause(vm, until, nowMillis)),
+              () -> {
+                allPausedUntilMillis = nowMillis + pauseMillis;
+                log.log("orders.unreadable", "table", row.key().table());
+              });
     }
     if (!pausedUntilMillis.isEmpty()) {
-      log.log("orders.paused", "epoch", lease.epoch(), "machines", pausedUntilMillis.keySet());
+      long lastEndMillis = pausedUntilMillis.values().stream().reduce(nowMillis, Math::max);
+      log.log(
+          "orders.paused",
+          "epoch",
+          lease.epoch(),
+          "machines",
+          pausedUntilMillis.keySet(),
+          "millis",
+          lastEndMillis - nowMillis);
+    }
+  }
+
+  /**
+   * Pauses commands to a VM. The pause counts from the time until which a command may be sent or,
+   * if that is not known, from now.
+   */
+  private void pause(String vm, long untilStoreMillis, long nowMillis) {
+    Optional<StoreTime> storeTime = store.storeTime();
+    if (untilStoreMillis == VmCommandRow.UNKNOWN || storeTime.isEmpty()) {
+      pauseUntil(vm, VmCommandRow.UNKNOWN, nowMillis + pauseMillis);
+      return;
+    }
+    StoreTime time = storeTime.get();
+    // No scheduler records a later time than this.
+    long latestStoreMillis =
+        time.storeMillis()
+            + (long) Math.ceil(MAX_SENDING_MILLIS * (1 + StoreTime.MAX_RATE_DIFFERENCE));
+    long boundedStoreMillis = Math.min(untilStoreMillis, latestStoreMillis);
+    long endMillis = time.certainlyPassedFromMillis(boundedStoreMillis + pauseMillis);
+    if (endMillis > nowMillis) {
+      pauseUntil(vm, boundedStoreMillis, endMillis);
+    }
+  }
+
+  private void pauseUntil(String vm, long untilStoreMillis, long endMillis) {
+    if (endMillis >= pausedUntilMillis.getOrDefault(vm, Long.MIN_VALUE)) {
+      pausedUntilMillis.put(vm, endMillis);
+      recordedVms.put(vm, new RecordedVm(untilStoreMillis, endMillis));
     }
   }
 
@@ -176,49 +242,72 @@
       return;
     }
     long now = clock.monotonicMillis();
-    recordedUntilMillis.values().removeIf(untilMillis -> now >= untilMillis);
-    Set<String> recordedVms = new TreeSet<>(recordedUntilMillis.keySet());
-    recordedVms.addAll(callbacksByVm.keySet());
-    Map<String, Consumer<Boolean>> batch = callbacksByVm;
+    recordedVms.values().removeIf(recorded -> now >= recorded.keptUntilMillis());
+    Map<String, Consumer<Optional<Authority>>> batch = callbacksByVm;
     callbacksByVm = new LinkedHashMap<>();
+    Optional<StoreTime> storeTime = store.storeTime();
+    long untilStoreMillis =
+        storeTime.map(time -> time.reachedAt(now) + sendingMillis()).orElse(VmCommandRow.UNKNOWN);
+    batch.keySet().forEach(vm -> recordedVms.put(vm, recordedVm(storeTime, untilStoreMillis, now)));
     callPending = true;
     long sentGeneration = generation;
     Transaction transaction =
         new Transaction(
             ImmutableList.of(lease.holderExpectation()),
-            ImmutableList.of(new Put(KEY, encode(recordedVms))),
+            ImmutableList.of(new Put(KEY, currentRow().encode())),
             ImmutableList.of());
     store.commit(
         transaction,
         outcome -> {
           if (generation == sentGeneration) {
             callPending = false;
-            boolean isStored = outcome instanceof Outcome.Committed;
-            // The caller sends the command now, so the VM stays in the row for a whole pause from
-            // now on.
-            long untilMillis = clock.monotonicMillis() + pauseMillis;
-            batch.keySet().forEach(vm -> recordedUntilMillis.put(vm, untilMillis));
-            batch.values().forEach(callback -> callback.accept(isStored));
+            lastWriteMillis = clock.monotonicMillis() - now;
+            Optional<Authority> authority =
+                outcome instanceof Outcome.Committed
+                    ? Optional.of(authorityUntil(storeTime, untilStoreMillis))
+                    : Optional.empty();
+            batch.values().forEach(callback -> callback.accept(authority));
             write();
           }
         });
   }
 
-  private static String encode(Set<String> vms) {
-    ArrayNode array = JsonNodeFactory.instance.arrayNode();
-    vms.forEach(array::add);
-    return array.toString();
+  /** Returns how long after their record commands may be sent, given how long records take. */
+  private long sendingMillis() {
+    return Math.min(MAX_SENDING_MILLIS, MIN_SENDING_MILLIS + 2 * lastWriteMillis);
+  }
+
+  private VmCommandRow currentRow() {
+    return new VmCommandRow(
+        ImmutableMap.copyOf(Maps.transformValues(recordedVms, RecordedVm::untilStoreMillis)));
+  }
+
+  /**
+   * Returns the entry of a VM to which this scheduler may send a command. Without a store's time, a
+   * command may be sent as long as the lease is valid.
+   */
+  private RecordedVm recordedVm(
+      Optional<StoreTime> storeTime, long untilStoreMillis, long nowMillis) {
+    long keptUntilMillis =
+        storeTime
+            .map(time -> time.certainlyPassedFromMillis(untilStoreMillis + pauseMillis))
+            .orElse(nowMillis + SchedulerLease.LEASE_MILLIS + pauseMillis);
+    return new RecordedVm(untilStoreMillis, keptUntilMillis);
   }
 
-  private static ImmutableList<String> decode(String value) {
-    try {
-      ImmutableList.Builder<String> vms = ImmutableList.builder();
-      for (JsonNode vm : MAPPER.readTree(value)) {
-        vms.add(vm.asText());
-      }
-      return vms.build();
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException("row \"orders\" of table \"control\" is not valid JSON", e);
+  private Authority authorityUntil(Optional<StoreTime> storeTime, long untilStoreMillis) {
+    Authority authority = lease.authority();
+    if (storeTime.isEmpty()) {
+      return authority;
     }
+    long untilMillis = storeTime.get().certainlyBeforeUntilMillis(untilStoreMillis);
+    long untilWallMillis = storeTime.get().certainlyBeforeUntilWallMillis(untilStoreMillis);
+    return new Authority(
+        authority.holder(),
+        authority.fencingToken(),
+        () ->
+            authority.isValid().getAsBoolean()
+                && clock.monotonicMillis() < untilMillis
+                && clock.wallMillis() < untilWallMillis);
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
@@ -10,6 +10,7 @@
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.VmClient;
+import org.sassafraslink.api.fleet.VmClient.Authority;
 import org.sassafraslink.api.fleet.VmClient.VmReply;
 import org.sassafraslink.api.fleet.VmClient.VmState;
 import org.sassafraslink.api.log.EventLog;
@@ -38,7 +39,6 @@
   private final VmClient vmClient;
   private final FleetClock clock;
   private final EventLog log;
-  private final SchedulerLease lease;
   private final SchedulerSettings settings;
   private final WorkerRegistry workers;
   private final PublishedConfig config;
@@ -60,7 +60,6 @@
       VmClient vmClient,
       FleetClock clock,
       EventLog log,
-      SchedulerLease lease,
       SchedulerSettings settings,
       WorkerRegistry workers,
       PublishedConfig config,
@@ -70,7 +69,6 @@
     this.vmClient = vmClient;
     this.clock = clock;
     this.log = log;
-    this.lease = lease;
     this.settings = settings;
     this.workers = workers;
     this.config = config;
@@ -155,20 +153,18 @@
     long sentGeneration = generation;
     vmCommandLog.recordVm(
         vm,
-        isRecorded -> {
-          if (isRecorded && lease.isValid()) {
-            sendMove(vm, pool, worker, sentGeneration);
-          } else {
-            applyResponse(vm, pool, worker, Either.left(CallFailure.NOT_PERFORMED));
-          }
-        });
+        authority ->
+            authority.ifPresentOrElse(
+                granted -> sendMove(vm, pool, worker, granted, sentGeneration),
+                () -> applyResponse(vm, pool, worker, Either.left(CallFailure.NOT_PERFORMED))));
   }
 
-  private void sendMove(String vm, String pool, Optional<Worker> worker, long sentGeneration) {
+  private void sendMove(
+      String vm, String pool, Optional<Worker> worker, Authority authority, long sentGeneration) {
     vmClient.move(
         vm,
         pool,
-        lease.authority(),
+        authority,
         response -> {
           if (generation == sentGeneration) {
             applyResponse(vm, pool, worker, response);
