Scheduler: start nothing in evacuated availability zones

Cause: the operator's request to evacuate a zone was unknown to the scheduler, which went on to start tasks there.

Change: EvacuatedZones decides what becomes of a start, from the zones in force, the age of the read that showed them and the present time. ZoneEvacuations marks the workers and withdraws starts that were not sent; placement, autoscaler, moves and waves ask Worker.isOpenForTasks. A start whose answer was lost is not repeated: a short task is stopped, a long-running one or a gang is kept if the worker reports it. A new scheduler restores no jobs before it knows the evacuations. While reads of them fail for so long that a request could have become due, starts are held. Without a request nothing changes.

--- a/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
@@ -34,6 +34,8 @@
  *     it counts as unavailable
  * @param maxBackfillImpactMillis how long backfill tasks may keep a serving task above its latency
  *     target
+ * @param maxEvacuationDelayMillis how long after the request to evacuate an availability zone a
+ *     start there is allowed; empty if the platform states no bound
  */
 public record NodeSettings(
     String node,
@@ -56,4 +58,5 @@
     long maintenanceMillis,
     long moveMillis,
     long unavailabilityThresholdMillis,
-    long maxBackfillImpactMillis) {}
+    long maxBackfillImpactMillis,
+    Optional<Long> maxEvacuationDelayMillis) {}
--- a/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import io.vavr.control.Either;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.sassafraslink.api.failure.Failure;
+import org.sassafraslink.api.fleet.Evacuations;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.FleetSettings.PoolConfig;
 import org.sassafraslink.api.fleet.FleetSettings.RequestLimits;
@@ -117,9 +119,11 @@
                 /* moveMillis= */ SimulatedWorkers.MOVE_MILLIS,
                 /* vmCommandsPerSecond= */ VM_COMMANDS_PER_SECOND,
                 /* unavailabilityThresholdMillis= */ 4_500,
-                /* maxBackfillImpactMillis= */ 4_000),
+                /* maxBackfillImpactMillis= */ 4_000,
+                /* maxEvacuationDelayMillis= */ Optional.empty()),
             new NoWatch());
     scheduler.onConfig(settings());
+    scheduler.onEvacuations(new Evacuations(ImmutableSet.of(), /* verifiedAtMillis= */ 0));
   }
 
   /**
--- a/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
@@ -84,6 +84,7 @@
         /* maintenanceMillis= */ 2_000,
         /* moveMillis= */ 1_500,
         /* unavailabilityThresholdMillis= */ 4_500,
-        /* maxBackfillImpactMillis= */ 4_000);
+        /* maxBackfillImpactMillis= */ 4_000,
+        /* maxEvacuationDelayMillis= */ Optional.empty());
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -327,9 +327,9 @@
   }
 
   @Override
-  public void onUnreportedAfterRestart(Task task) {
+  public void onUnreportedStart(Task task, String reason) {
     // The start may still arrive, and the worker rejects it only after a stop.
-    commandSender.stop(task, "worker_restarted");
+    commandSender.stop(task, reason);
   }
 
   @Override
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -252,7 +252,7 @@
   private boolean isNeededByBacklog(String vm, Backlog backlog) {
     return workers
         .listedOnVm(vm)
-        .filter(worker -> !worker.isSafeToRemove() && worker.cordonReason.isEmpty())
+        .filter(worker -> !worker.isSafeToRemove() && worker.isOpenForTasks())
         .map(worker -> backlog.forPool(worker.entry.pool()).tasks() > 0)
         .orElse(false);
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -16,6 +16,7 @@
 import org.sassafraslink.api.fleet.VmClient.Vm;
 import org.sassafraslink.api.fleet.VmClient.VmState;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.placement.EvacuatedZones;
 
 /**
  * Moves empty VMs to pools that are short of them, and powers off VMs that no pool needs by moving
@@ -166,9 +167,7 @@
           shortPools.stream().anyMatch(shortPool -> !shortPool.equals(pool.name()));
       if (!pool.standby() && isUsableElsewhere) {
         List<Worker> poolWorkers =
-            workers.listedInPool(pool.name()).stream()
-                .filter(worker -> worker.cordonReason.isEmpty())
-                .toList();
+            workers.listedInPool(pool.name()).stream().filter(Worker::isOpenForTasks).toList();
         Resources needed = neededInTime(pool.name(), backlog, nowMillis);
         SurplusWorkers.of(poolWorkers, needed, MIN_WORKERS).stream()
             .filter(worker -> emptyWorkers.emptyMillis(worker, nowMillis) < MAX_SURPLUS_IDLE_MILLIS)
@@ -352,7 +351,9 @@
   /** Returns the first reason for which a worker's VM cannot be moved to a pool. */
   private String reasonNotMoved(Worker worker, String pool, Backlog backlog, long nowMillis) {
     String currentPool = worker.entry.pool();
-    if (!worker.cordonReason.isEmpty()) {
+    if (worker.zoneEvacuated) {
+      return EvacuatedZones.REASON;
+    } else if (!worker.cordonReason.isEmpty()) {
       return "cordoned";
     } else if (!worker.isSafeToRemove()) {
       return worker.tasks().stream().allMatch(task -> task.step.longRunning()) ? "lasting" : "busy";
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolStateLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolStateLog.java
@@ -101,11 +101,13 @@
   private void writeLine(String pool, WaitingWork waiting, Resources needed) {
     List<Worker> poolWorkers = listedInPool.apply(pool);
     long uncordoned = 0;
+    long evacuated = 0;
     long empty = 0;
     Resources capacity = Resources.NONE;
     Resources free = Resources.NONE;
     for (Worker worker : poolWorkers) {
-      uncordoned += worker.cordonReason.isEmpty() ? 1 : 0;
+      uncordoned += worker.isOpenForTasks() ? 1 : 0;
+      evacuated += worker.zoneEvacuated ? 1 : 0;
       empty += worker.isEmpty() ? 1 : 0;
       capacity = capacity.plus(worker.entry.capacity());
       free = free.plus(worker.freeResources());
@@ -135,7 +137,9 @@
         "waitingAtLimit",
         waiting.tasksAtTeamLimit,
         "jobsNotBegun",
-        waiting.jobsNotBegun);
+        waiting.jobsNotBegun,
+        "evacuated",
+        evacuated);
   }
 
   private static double cores(Resources resources) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolUsage.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolUsage.java
@@ -37,11 +37,14 @@
           Resources.NONE,
           Resources.NONE);
 
-  /** Returns the usage of each pool that has a listed worker, from one pass over all workers. */
+  /**
+   * Returns the usage of each pool that has a listed worker outside the evacuated zones, from one
+   * pass over all workers.
+   */
   static ImmutableMap<String, PoolUsage> byPool(Iterable<Worker> workers) {
     Map<String, PoolUsage> usageByPool = new HashMap<>();
     for (Worker worker : workers) {
-      if (worker.isInPool()) {
+      if (worker.isInPool() && !worker.zoneEvacuated) {
         String pool = worker.entry.pool();
         usageByPool.put(pool, usageByPool.getOrDefault(pool, EMPTY).plus(worker));
       }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import org.sassafraslink.api.fleet.AdviceClient;
+import org.sassafraslink.api.fleet.Evacuations;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.RowStore;
@@ -12,6 +13,7 @@
 import org.sassafraslink.api.fleet.WorkerClient;
 import org.sassafraslink.api.fleet.WorkerReport;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.placement.EvacuatedZones;
 
 /**
  * Schedules all jobs while this process holds the scheduling lease.
@@ -40,6 +42,7 @@
   private final WorkerLeaseRenewer leaseRenewer;
   private final VmInventory vmInventory;
   private final VmCommandLog commandLog;
+  private final ZoneEvacuations evacuations;
   private final MaintenanceController maintenance;
   private final VmMover vmMover;
   private final PoolAutoscaler autoscaler;
@@ -110,8 +113,18 @@
             this::applyJobRows);
     this.load = new SchedulerLoad(log);
     this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, fences, load, jobs);
+    this.evacuations =
+        new ZoneEvacuations(
+            log, workers::all, settings.maxEvacuationDelayMillis(), new EvacuationActions());
     this.commandSender =
-        new TaskCommandSender(workerClient, clock, log, lease, settings, new TaskCommandListener());
+        new TaskCommandSender(
+            workerClient,
+            clock,
+            log,
+            lease,
+            settings,
+            evacuations::startAction,
+            new TaskCommandListener());
     jobs.setWriterAndSender(progressWriter, commandSender);
     this.workerReportReconciler =
         new WorkerReportReconciler(
@@ -151,7 +164,8 @@
             config,
             vmInventory,
             commandLog,
-            actions);
+            actions,
+            evacuations::contains);
     this.autoscaler =
         new PoolAutoscaler(
             log,
@@ -203,6 +217,14 @@
     }
   }
 
+  /** Replaces the evacuations that the operator has requested by those of a newer read. */
+  public void onEvacuations(Evacuations requested) {
+    evacuations.update(requested);
+    if (jobsRestored) {
+      evacuations.apply(clock.monotonicMillis());
+    }
+  }
+
   /**
    * Announces that an entry VM has accepted a job, which this process then reads if it schedules
    * and the store's changes do not show the job soon.
@@ -253,6 +275,7 @@
     if (!jobsRestored || !lease.isValid()) {
       return;
     }
+    evacuations.apply(now);
     announcedJobs.readIfDue(now);
     for (Worker worker : workers.all()) {
       leaseRenewer.renewIfDue(worker, now);
@@ -271,7 +294,10 @@
   }
 
   private void restoreJobsIfLoaded() {
-    if (!jobFeed.isLoaded() || !workers.isLoaded() || !config.hasSettings()) {
+    if (!jobFeed.isLoaded()
+        || !workers.isLoaded()
+        || !config.hasSettings()
+        || !evacuations.areKnown()) {
       return;
     }
     jobsRestored = true;
@@ -317,6 +343,7 @@
     earlyRows = ImmutableList.of();
     progressWriter.reset();
     commandSender.reset();
+    evacuations.reset();
     leaseRenewer.reset();
     jobFeed.reset();
     announcedJobs.reset();
@@ -386,6 +413,11 @@
       jobs.release(task, TaskPhase.WAITING, reason);
     }
 
+    @Override
+    public void onStartWithdrawn(Task task) {
+      evacuations.withdraw(task);
+    }
+
     @Override
     public void onStarted(Task task) {
       jobs.onStarted(task);
@@ -402,6 +434,18 @@
     }
   }
 
+  private final class EvacuationActions implements ZoneEvacuations.Actions {
+    @Override
+    public void releaseUnsent(Task task) {
+      jobs.release(task, TaskPhase.WAITING, EvacuatedZones.REASON);
+    }
+
+    @Override
+    public void stopSent(Task task) {
+      commandSender.stop(task, EvacuatedZones.REASON);
+    }
+  }
+
   private final class RenewerListener implements WorkerLeaseRenewer.Listener {
     @Override
     public void onReport(Worker worker, WorkerReport report, long sentMillis) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
@@ -1,5 +1,6 @@
 package org.sassafraslink.scheduler;
 
+import java.util.Optional;
 import org.sassafraslink.api.fleet.NodeSettings;
 
 /**
@@ -22,6 +23,8 @@
  *     it counts as unavailable
  * @param maxBackfillImpactMillis how long a serving task may exceed its latency target because of
  *     backfill
+ * @param maxEvacuationDelayMillis how long after the request of an evacuation a start in its zone
+ *     is allowed; empty if the platform states no bound
  */
 public record SchedulerSettings(
     String node,
@@ -37,7 +40,8 @@
     long moveMillis,
     double vmCommandsPerSecond,
     long unavailabilityThresholdMillis,
-    long maxBackfillImpactMillis) {
+    long maxBackfillImpactMillis,
+    Optional<Long> maxEvacuationDelayMillis) {
   /**
    * Longest lease granted to workers, in ms. A lease must last until the next scheduler can renew
    * it after a failure, which takes the duration of the scheduling lease and about a second more. A
@@ -76,7 +80,8 @@
         node.moveMillis(),
         node.vmCommandsPerSecond(),
         node.unavailabilityThresholdMillis(),
-        node.maxBackfillImpactMillis());
+        node.maxBackfillImpactMillis(),
+        node.maxEvacuationDelayMillis());
   }
 
   /**
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -1,5 +1,6 @@
 package org.sassafraslink.scheduler;
 
+import com.google.common.collect.ImmutableList;
 import java.util.HashSet;
 import java.util.Set;
 import org.sassafraslink.api.fleet.Resources;
@@ -63,6 +64,15 @@
    */
   boolean orderedToEarlierIncarnation;
 
+  /** Whether a start of the attempt was sent, to whichever incarnation of the worker. */
+  boolean startSent;
+
+  /**
+   * Since when the start is not repeated because the worker's zone is evacuated, monotonic ms; 0 if
+   * it may be repeated.
+   */
+  long startWithheldMillis;
+
   /** When the worker confirmed that it runs the attempt, monotonic ms; 0 before. */
   long confirmedMillis;
 
@@ -125,6 +135,20 @@
         && startAfterChange <= job.lastCommittedChange;
   }
 
+  /** Returns whether a start of the current attempt may have reached the worker. */
+  boolean mayBeKnown() {
+    return phase.mayBeKnownToWorker() && (phase != TaskPhase.ORDERED || startSent || restored);
+  }
+
+  /** Returns the members of its gang that have the same attempt, or only itself without a gang. */
+  ImmutableList<Task> membersOfAttempt() {
+    return step.gang()
+        ? job.tasksOfStep(this).stream()
+            .filter(member -> member.phase.occupiesWorker() && member.attempt == attempt)
+            .collect(ImmutableList.toImmutableList())
+        : ImmutableList.of(this);
+  }
+
   /** Assigns the task to a worker for its next attempt. */
   void assign(Worker targetWorker, int nextAttempt, String adviceTicket) {
     phase = TaskPhase.ASSIGNED;
@@ -134,6 +158,8 @@
     startCheckpoint = checkpoint;
     inconclusiveSends = 0;
     restored = false;
+    startSent = false;
+    startWithheldMillis = 0;
     orderedToEarlierIncarnation = false;
     stopAcceptedMillis = 0;
     nextCommandMillis = 0;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -11,6 +11,8 @@
 import org.sassafraslink.api.fleet.WorkerClient.Start;
 import org.sassafraslink.api.fleet.WorkerClient.TaskReply;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.placement.EvacuatedZones;
+import org.sassafraslink.scheduler.placement.EvacuatedZones.StartAction;
 
 /**
  * Sends start and stop commands to workers and repeats them until their outcome is known.
@@ -37,11 +39,20 @@
   /** How long a worker gets no new tasks after it had no free capacity for a task, in ms. */
   private static final long AVOID_AFTER_NO_ROOM_MILLIS = 200;
 
+  /** Decides whether the start of a task may be sent or repeated at the time given, in ms. */
+  @FunctionalInterface
+  interface StartPolicy {
+    StartAction startAction(Task task, long nowMillis);
+  }
+
   /** Receives the outcomes of commands; called on the scheduler's thread. */
   interface Listener {
     /** Called when the attempt has not started and can no longer start. */
     void onNotStarted(Task task, String reason);
 
+    /** Called when a start that was not sent must not be sent to its worker any more. */
+    void onStartWithdrawn(Task task);
+
     /** Called when the worker has accepted the start. */
     void onStarted(Task task);
 
@@ -57,6 +68,7 @@
   private final EventLog log;
   private final SchedulerLease lease;
   private final SchedulerSettings settings;
+  private final StartPolicy startPolicy;
   private final Listener listener;
 
   /** Tasks with a start or stop command that the worker has not accepted. */
@@ -71,12 +83,14 @@
       EventLog log,
       SchedulerLease lease,
       SchedulerSettings settings,
+      StartPolicy startPolicy,
       Listener listener) {
     this.client = client;
     this.clock = clock;
     this.log = log;
     this.lease = lease;
     this.settings = settings;
+    this.startPolicy = startPolicy;
     this.listener = listener;
   }
 
@@ -160,6 +174,9 @@
       // The next report of the restarted worker shows whether it runs the attempt.
       return;
     }
+    if (isStart && !maySendStart(task)) {
+      return;
+    }
     Worker worker = task.worker;
     Optional<Long> leaseEnd =
         isStart
@@ -194,12 +211,40 @@
               lease.epoch(),
               task.startCheckpoint,
               task.ticket);
+      task.startSent = true;
       client.start(worker.entry, start, onResponse);
     } else {
       client.stop(worker.entry, task.id, attempt, lease.epoch(), onResponse);
     }
   }
 
+  /** Returns whether a start may be sent or repeated now, and deals with one that may not. */
+  private boolean maySendStart(Task task) {
+    long now = clock.monotonicMillis();
+    StartAction action = startPolicy.startAction(task, now);
+    if (action == StartAction.WITHDRAW) {
+      listener.onStartWithdrawn(task);
+    } else if (action == StartAction.AWAIT_REPORT) {
+      awaitReportOfStart(task, now);
+    } else {
+      task.startWithheldMillis = 0;
+    }
+    return action == StartAction.SEND;
+  }
+
+  /**
+   * Handles a start that must not be repeated although its outcome is unknown. A task that has done
+   * little work by now is stopped at once. The stop of a long-running task would interrupt it, and
+   * that of a gang all its members, so the worker's next report decides about those.
+   */
+  private void awaitReportOfStart(Task task, long nowMillis) {
+    if (!task.step.longRunning() && !task.step.gang()) {
+      stop(task, EvacuatedZones.REASON);
+    } else if (task.startWithheldMillis == 0) {
+      task.startWithheldMillis = nowMillis;
+    }
+  }
+
   private void applyStartResponse(Task task, Either<CallFailure, TaskReply> response) {
     if (task.phase == TaskPhase.STOPPING) {
       // The stop was not sent while the response to the start was pending.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.VmClient;
@@ -45,6 +46,7 @@
   private final VmInventory vmInventory;
   private final VmCommandLog vmCommandLog;
   private final MaintenanceController.Actions actions;
+  private final Predicate<String> isZoneEvacuated;
   private final VmMoveRate moveRate;
 
   private final Map<String, Move> moves = new HashMap<>();
@@ -66,7 +68,8 @@
       PublishedConfig config,
       VmInventory vmInventory,
       VmCommandLog vmCommandLog,
-      MaintenanceController.Actions actions) {
+      MaintenanceController.Actions actions,
+      Predicate<String> isZoneEvacuated) {
     this.vmClient = vmClient;
     this.clock = clock;
     this.log = log;
@@ -77,6 +80,7 @@
     this.vmInventory = vmInventory;
     this.vmCommandLog = vmCommandLog;
     this.actions = actions;
+    this.isZoneEvacuated = isZoneEvacuated;
     this.moveRate = VmMoveRate.of(settings.vmCommandsPerSecond());
   }
 
@@ -136,10 +140,15 @@
 
   /**
    * Returns whether a VM may be moved to a pool now, given the earlier commands to it: none is in
-   * progress or too recent, and the platform has not rejected this move.
+   * progress or too recent, and the platform has not rejected this move. The VMs of an evacuated
+   * zone stay where they are: they are no capacity for another pool, and their own pool gets work
+   * there again as soon as the evacuation ends.
    */
   boolean mayMove(String vm, String pool, long nowMillis) {
-    return !moves.containsKey(vm)
+    boolean isEvacuated =
+        vmInventory.findVm(vm).map(found -> isZoneEvacuated.test(found.zone())).orElse(false);
+    return !isEvacuated
+        && !moves.containsKey(vm)
         && vmCommandLog.maySendCommand(vm, nowMillis)
         && !rejectedMoves.contains(vm + " " + pool)
         && nowMillis >= retryAtMillis.getOrDefault(vm, Long.MIN_VALUE);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -57,6 +57,9 @@
   /** Why it gets no new tasks until the reason is cleared; empty if it may get some. */
   String cordonReason = "";
 
+  /** Whether its availability zone is evacuated, so that it gets no new tasks. */
+  boolean zoneEvacuated;
+
   /** When it was cordoned, monotonic ms. */
   long cordonedMillis;
 
@@ -160,6 +163,11 @@
     return listed && !ended && !isReplacementSuspected();
   }
 
+  /** Returns whether neither a cordon nor an evacuation of its zone keeps new tasks from it. */
+  boolean isOpenForTasks() {
+    return cordonReason.isEmpty() && !zoneEvacuated;
+  }
+
   /** Records a response with the worker's clock, which also ends a series of failed requests. */
   void recordResponse(long workerClockMillis, long nowMillis) {
     lease = lease.read(workerClockMillis, nowMillis);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
@@ -30,7 +30,7 @@
         && !worker.ended
         && !worker.isReplacementSuspected()
         && !worker.entry.draining()
-        && worker.cordonReason.isEmpty()
+        && worker.isOpenForTasks()
         && worker.consecutiveCallFailures == 0
         && nowMillis >= worker.avoidUntilMillis;
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
@@ -1,6 +1,5 @@
 package org.sassafraslink.scheduler;
 
-import com.google.common.collect.ImmutableList;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Function;
@@ -12,6 +11,7 @@
 import org.sassafraslink.api.fleet.WorkerReport.Ended;
 import org.sassafraslink.api.fleet.WorkerReport.Running;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.placement.EvacuatedZones;
 
 /**
  * Updates tasks from the reports of workers.
@@ -33,10 +33,10 @@
     void onStarted(Task task);
 
     /**
-     * Called when a worker has restarted and its report does not list an attempt whose start was
-     * sent to the earlier incarnation.
+     * Called when a worker's report does not list an attempt whose start is not repeated, although
+     * it may still arrive.
      */
-    void onUnreportedAfterRestart(Task task);
+    void onUnreportedStart(Task task, String reason);
 
     /** Called when an attempt is over, but no report lists how it ended. */
     void onOutcomeUnknown(Task task);
@@ -108,7 +108,11 @@
         } else if (!isReported
             && task.phase == TaskPhase.ORDERED
             && task.orderedToEarlierIncarnation) {
-          listener.onUnreportedAfterRestart(task);
+          // The worker has restarted, and the start was sent to its earlier incarnation.
+          listener.onUnreportedStart(task, "worker_restarted");
+        } else if (!isReported && isWithheldSince(task, sentMillis)) {
+          task.membersOfAttempt()
+              .forEach(member -> listener.onUnreportedStart(member, EvacuatedZones.REASON));
         }
       }
     }
@@ -128,6 +132,12 @@
     };
   }
 
+  private static boolean isWithheldSince(Task task, long sentMillis) {
+    return task.phase == TaskPhase.ORDERED
+        && task.startWithheldMillis > 0
+        && task.startWithheldMillis <= sentMillis;
+  }
+
   private void applyRunning(Worker worker, Running running, boolean isNewest) {
     Task task = findCurrentTask(worker, running.task(), running.attempt());
     if (task == null) {
@@ -170,7 +180,7 @@
         clock.monotonicMillis() - task.confirmedMillis);
     if (ended.kind() == EndKind.DONE && task.step.gang()) {
       // A gang succeeds as a whole: one reported success counts for all its tasks.
-      gangMembersOf(task).forEach(member -> notifyDone(member));
+      task.membersOfAttempt().forEach(member -> notifyDone(member));
     } else if (ended.kind() == EndKind.DONE) {
       notifyDone(task);
     } else if (ended.kind() == EndKind.FAILED) {
@@ -185,12 +195,6 @@
     listener.onDone(task, clock.monotonicMillis() - task.confirmedMillis);
   }
 
-  private static ImmutableList<Task> gangMembersOf(Task task) {
-    return task.job.tasksOfStep(task).stream()
-        .filter(member -> member.phase.occupiesWorker() && member.attempt == task.attempt)
-        .collect(ImmutableList.toImmutableList());
-  }
-
   /**
    * Returns the task whose current attempt has this number and may run on this worker; null if
    * there is none.
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -49,7 +50,8 @@
               /* moveMillis= */ 1_500,
               /* vmCommandsPerSecond= */ 64,
               /* unavailabilityThresholdMillis= */ 4_500,
-              /* maxBackfillImpactMillis= */ 4_000);
+              /* maxBackfillImpactMillis= */ 4_000,
+              /* maxEvacuationDelayMillis= */ Optional.empty());
       lease = new SchedulerLease(store, this, EventLog.silent(), settings, this, this);
       fences = new DecisionFences(store, this, EventLog.silent(), lease, settings.process());
       runAndReschedule();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -68,7 +69,8 @@
               /* moveMillis= */ 1_500,
               /* vmCommandsPerSecond= */ 64,
               /* unavailabilityThresholdMillis= */ 4_500,
-              /* maxBackfillImpactMillis= */ 4_000);
+              /* maxBackfillImpactMillis= */ 4_000,
+              /* maxEvacuationDelayMillis= */ Optional.empty());
       lease = new SchedulerLease(store, time, EventLog.silent(), settings, this, this);
       commandLog = new VmCommandLog(store, time, EventLog.silent(), lease, PAUSE_MILLIS);
       callStoreAndReschedule();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
@@ -84,6 +84,12 @@
     behaviorByNode.put(node, behavior);
   }
 
+  /** Returns whether the store answers the reads of a node. */
+  boolean answersReadsOf(String node) {
+    Behavior behavior = behaviorByNode.getOrDefault(node, Behavior.NORMAL);
+    return behavior != Behavior.FAILS_CALLS && behavior != Behavior.UNRESPONSIVE;
+  }
+
   /**
    * From now on applies the transactions of one partition one after the other, each of which takes
    * {@code millis} ms. A response that takes longer than the time limit of calls is lost.
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
@@ -91,7 +91,7 @@
     vms.forEach(
         (id, vm) -> {
           if (fleet.clock.nowMillis() >= vm.hiddenUntilMillis) {
-            list.add(new Vm(id, vm.pool, vm.state, "zone", "r1", vm.workerId));
+            list.add(new Vm(id, vm.pool, vm.state, fleet.zoneOf(id), "r1", vm.workerId));
           }
         });
     return list.build();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -57,6 +58,7 @@
   public final Map<String, SimNode> nodes = new LinkedHashMap<>();
   final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final Map<String, String> poolByWorkerId = new HashMap<>();
+  private final Map<String, String> vmByWorkerId = new HashMap<>();
   private final Map<String, JobSpec> submittedJobs = new LinkedHashMap<>();
   private final Set<String> jobsOfPreviousVersion = new HashSet<>();
   private long taskTimeFactor = 1;
@@ -74,6 +76,21 @@
   /** Tasks of which every attempt fails. */
   public final List<TaskId> tasksThatAlwaysFail = new ArrayList<>();
 
+  /** The availability zones of VMs that are not in the usual one, by VM. */
+  public final Map<String, String> zoneByVm = new HashMap<>();
+
+  /** The zones that the operator has asked to evacuate. */
+  private ImmutableSet<String> evacuatedZones = ImmutableSet.of();
+
+  /** The bound for starts in evacuated zones that processes get which start from now on. */
+  public Optional<Long> maxEvacuationDelayMillis = Optional.of(5_000L);
+
+  /** All start commands that schedulers have sent, whether or not they arrived. */
+  public final List<StartCommand> startCommands = new ArrayList<>();
+
+  /** A start command that was sent at {@code millis}. */
+  public record StartCommand(long millis, String worker, TaskId task, int attempt) {}
+
   /** Ids of workers on which every attempt fails. */
   public final List<String> workersThatFailAllTasks = new ArrayList<>();
 
@@ -137,6 +154,15 @@
     node.start();
   }
 
+  /** As {@link #startNode}, with a process that cannot read the operator's rows yet. */
+  public void startNodeWithFailingOperatorReads(String nodeName) {
+    killNode(nodeName);
+    SimNode node = new SimNode(this, nodeName);
+    node.setOperatorReadsFail(true);
+    nodes.put(nodeName, node);
+    node.start();
+  }
+
   /** Kills the process on a node, if any. */
   public void killNode(String nodeName) {
     SimNode previous = nodes.remove(nodeName);
@@ -172,6 +198,7 @@
             gangs);
     workers.put(id, worker);
     poolByWorkerId.put(id, pool);
+    vmByWorkerId.put(id, vm);
     putWorkerEntry(id, lastIncarnation, pool, vm, id);
   }
 
@@ -230,6 +257,43 @@
         .filter(worker -> !worker.crashed && poolByWorkerId.get(worker.id).equals(pool));
   }
 
+  String zoneOf(String vm) {
+    return zoneByVm.getOrDefault(vm, "zone");
+  }
+
+  /** Puts workers of a single pool into a zone; must be called before they are started. */
+  public void putInZone(String zone, String... workerIds) {
+    for (String id : workerIds) {
+      zoneByVm.put("m-" + id, zone);
+    }
+  }
+
+  /** Replaces the operator's requests for evacuations, which reachable processes read at once. */
+  public void evacuate(String... zones) {
+    evacuatedZones = ImmutableSet.copyOf(zones);
+    nodes.values().forEach(SimNode::readEvacuations);
+  }
+
+  ImmutableSet<String> evacuatedZones() {
+    return evacuatedZones;
+  }
+
+  /** Returns the start commands since a time to workers on VMs of a zone. */
+  public List<StartCommand> startsIn(String zone, long sinceMillis) {
+    return startCommands.stream()
+        .filter(start -> start.millis() >= sinceMillis)
+        .filter(start -> zoneOf(vmByWorkerId.get(start.worker())).equals(zone))
+        .toList();
+  }
+
+  /** Returns how many attempts run on the workers on VMs of a zone. */
+  public int runningAttemptCount(String zone) {
+    return workers.values().stream()
+        .filter(worker -> zoneOf(vmByWorkerId.get(worker.id)).equals(zone))
+        .mapToInt(FakeWorker::runningAttemptCount)
+        .sum();
+  }
+
   /** Returns the configuration that was published last. */
   public FleetSettings settings() {
     return settings;
@@ -266,6 +330,13 @@
     return workersIn(pool).count();
   }
 
+  /** Returns how many workers run in a pool on VMs of a zone. */
+  public long workerCountInZone(String zone, String pool) {
+    return workersIn(pool)
+        .filter(worker -> zoneOf(vmByWorkerId.get(worker.id)).equals(zone))
+        .count();
+  }
+
   /** Returns how many workers of a pool run no attempt. */
   public long emptyWorkerCount(String pool) {
     return workersIn(pool).filter(worker -> worker.runningAttemptCount() == 0).count();
@@ -444,7 +515,7 @@
                 Long.parseLong(values.get(0)),
                 values.get(1),
                 InetSocketAddress.createUnresolved(HOST_PREFIX + values.get(3), 1),
-                "zone",
+                zoneOf(values.get(2)),
                 values.get(2),
                 /* rack= */ "r1",
                 /* labels= */ ImmutableList.of("a", "r1"),
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.AdviceClient;
 import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.Evacuations;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.RowStore;
@@ -22,6 +23,7 @@
 import org.sassafraslink.scheduler.LeaseHolderWatch;
 import org.sassafraslink.scheduler.Scheduler;
 import org.sassafraslink.scheduler.SchedulerSettings;
+import org.sassafraslink.scheduler.sim.SimFleet.StartCommand;
 
 /** A simulated process with a scheduler, which can be paused, killed or cut off from workers. */
 public final class SimNode {
@@ -38,6 +40,8 @@
   }
 
   private static final long RUN_INTERVAL_MILLIS = 10;
+  private static final long OPERATOR_READ_INTERVAL_MILLIS = 500;
+  private static final long OPERATOR_READ_RETRY_MILLIS = 100;
   private static final long HOLDER_CHECK_INTERVAL_MILLIS = 20;
   private static final long COMMAND_LATENCY_MILLIS = 2;
   private static final long CALL_TIMEOUT_MILLIS = 600;
@@ -45,6 +49,7 @@
 
   private final SimFleet fleet;
   private final String name;
+  private final FleetClock clock;
   private final Scheduler scheduler;
 
   /** Callbacks that were due while this process was paused. */
@@ -58,6 +63,7 @@
 
   private String watchedAddress = "";
   private Runnable onWatchedHolderGone = () -> {};
+  private boolean operatorReadsFail;
   private boolean paused;
   private boolean killed;
 
@@ -68,7 +74,7 @@
     this.fleet = fleet;
     this.name = name;
     this.address = name + "@" + fleet.clock.nowMillis();
-    FleetClock clock =
+    this.clock =
         new FleetClock() {
           @Override
           public long monotonicMillis() {
@@ -107,7 +113,8 @@
                 /* moveMillis= */ FakeVmPlatform.MOVE_MILLIS,
                 /* vmCommandsPerSecond= */ fleet.layout.movesPerSecond().orElse(1),
                 /* unavailabilityThresholdMillis= */ 4_500,
-                /* maxBackfillImpactMillis= */ 4_000),
+                /* maxBackfillImpactMillis= */ 4_000,
+                fleet.maxEvacuationDelayMillis),
             new SimLeaseHolderWatch());
     scheduler.onConfig(fleet.settings());
   }
@@ -153,6 +160,33 @@
 
   void start() {
     fleet.clock.runAfter(RUN_INTERVAL_MILLIS, this::runSchedulerAndReschedule);
+    readEvacuationsAndReschedule();
+  }
+
+  /** Simulates the reads of the operator's rows, with the evacuations. */
+  private void readEvacuationsAndReschedule() {
+    if (!killed) {
+      readEvacuations();
+      long pauseMillis =
+          canReadEvacuations() ? OPERATOR_READ_INTERVAL_MILLIS : OPERATOR_READ_RETRY_MILLIS;
+      fleet.clock.runAfter(pauseMillis, this::readEvacuationsAndReschedule);
+    }
+  }
+
+  void readEvacuations() {
+    if (canReadEvacuations()) {
+      Evacuations newest = new Evacuations(fleet.evacuatedZones(), clock.monotonicMillis());
+      wrapCallback(ignored -> scheduler.onEvacuations(newest)).accept(null);
+    }
+  }
+
+  private boolean canReadEvacuations() {
+    return !operatorReadsFail && fleet.rowStore.answersReadsOf(name);
+  }
+
+  /** Sets whether the reads of the operator's rows fail, while all other calls succeed. */
+  public void setOperatorReadsFail(boolean fail) {
+    operatorReadsFail = fail;
   }
 
   private void runSchedulerAndReschedule() {
@@ -367,6 +401,8 @@
     @Override
     public void start(
         WorkerEntry worker, Start start, Consumer<Either<CallFailure, TaskReply>> done) {
+      fleet.startCommands.add(
+          new StartCommand(fleet.clock.nowMillis(), worker.id(), start.task(), start.attempt()));
       sendCommand(
           worker,
           target -> {
