Entry daemon: read evacuations from the operator's table

Cause: no daemon read the rows that ask for an evacuation.

Change: ConfigWatcher passes the zones on after each read, after the configuration and the waves of the same read, and reads all pages of the table before it reports anything. A row counts as long as it exists, whatever its value; a row that names no zone is logged once and ignored. New gauge sassafraslink_evacuated_zones.

Measured: ConfigWatcherTest and JobRequestHandlerTest pass.

--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
@@ -8,6 +8,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.Evacuations;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.RowStore.Range;
@@ -20,8 +21,8 @@
 
 /**
  * Reads the operator's rows from the store with long polls and reports new versions of the
- * configuration and new maintenance waves to listeners. A configuration with a lower version than
- * the current one is ignored.
+ * configuration, new maintenance waves and the evacuations in force to listeners. A configuration
+ * with a lower version than the current one is ignored.
  *
  * <p>The results of its reads also show whether this VM can reach the store.
  *
@@ -46,6 +47,8 @@
   private final BiConsumer<Runnable, Integer> timer;
   private final Consumer<FleetSettings> onConfig;
   private final Consumer<ImmutableList<Wave>> onWaves;
+  private final Consumer<Evacuations> onEvacuations;
+  private final EvacuationRows evacuationRows;
 
   /** All waves that have been read, by their number. */
   private final Map<Long, Wave> waveByNumber = new TreeMap<>();
@@ -73,13 +76,16 @@
       EventLog log,
       BiConsumer<Runnable, Integer> timer,
       Consumer<FleetSettings> onConfig,
-      Consumer<ImmutableList<Wave>> onWaves) {
+      Consumer<ImmutableList<Wave>> onWaves,
+      Consumer<Evacuations> onEvacuations) {
     this.store = store;
     this.clock = clock;
     this.log = log;
     this.timer = timer;
     this.onConfig = onConfig;
     this.onWaves = onWaves;
+    this.onEvacuations = onEvacuations;
+    this.evacuationRows = new EvacuationRows(log);
   }
 
   /**
@@ -88,6 +94,8 @@
    * @param timer runs a task on the watcher's thread after a delay in ms
    * @param onConfig receives each new version of the configuration
    * @param onWaves receives all known waves after each read that returned a wave
+   * @param onEvacuations receives the evacuations in force after each read; its first call follows
+   *     those of the other listeners with the same read
    */
   public static ConfigWatcher create(
       ResponseTrackingRowStore store,
@@ -95,8 +103,9 @@
       EventLog log,
       BiConsumer<Runnable, Integer> timer,
       Consumer<FleetSettings> onConfig,
-      Consumer<ImmutableList<Wave>> onWaves) {
-    return new ConfigWatcher(store, clock, log, timer, onConfig, onWaves);
+      Consumer<ImmutableList<Wave>> onWaves,
+      Consumer<Evacuations> onEvacuations) {
+    return new ConfigWatcher(store, clock, log, timer, onConfig, onWaves, onEvacuations);
   }
 
   /**
@@ -112,6 +121,11 @@
     return newestConfig;
   }
 
+  /** Returns how many zones are to be evacuated, as far as is known. */
+  public int evacuatedZoneCount() {
+    return evacuationRows.toEvacuations(verifiedAtMillis).zones().size();
+  }
+
   /** Returns the time since a read last showed that no newer configuration exists, in ms. */
   public long millisSinceVerified(long nowMillis) {
     return nowMillis - verifiedAtMillis;
@@ -140,17 +154,53 @@
   }
 
   private void readNext() {
+    long sentMillis = clock.monotonicMillis();
     if (readUpToVersion < 0) {
-      store.read(new Range(OperatorRows.TABLE, "", "", ""), this::applyReadResult);
+      readPage("", ImmutableList.of(), Long.MAX_VALUE, sentMillis);
     } else {
       // After a failure the poll returns at once, to detect early that the store is reachable
       // again.
       int waitMillis = readsFailing ? 0 : LONG_POLL_MILLIS;
-      store.readChanges(OperatorRows.TABLE, readUpToVersion, waitMillis, this::applyReadResult);
+      store.readChanges(
+          OperatorRows.TABLE,
+          readUpToVersion,
+          waitMillis,
+          result -> applyReadResult(result, false, sentMillis));
     }
   }
 
-  private void applyReadResult(Either<CallFailure, Rows> result) {
+  /**
+   * Reads the rows of the whole table from {@code fromKey} on.
+   *
+   * @param rowsSoFar the rows of the pages before
+   * @param lowestVersion the lowest version of the pages before, from which on changes are read
+   *     later: a row of an earlier page may change before a later page is read
+   * @param sentMillis when the first page was requested, monotonic ms
+   */
+  private void readPage(
+      String fromKey, ImmutableList<StoredRow> rowsSoFar, long lowestVersion, long sentMillis) {
+    store.read(
+        new Range(OperatorRows.TABLE, "", fromKey, ""),
+        result -> {
+          if (result.isLeft()) {
+            applyReadResult(result, true, sentMillis);
+            return;
+          }
+          Rows page = result.get();
+          ImmutableList<StoredRow> rows =
+              ImmutableList.<StoredRow>builder().addAll(rowsSoFar).addAll(page.rows()).build();
+          long version = Math.min(lowestVersion, page.version());
+          if (page.hasMore() && !page.rows().isEmpty()) {
+            String lastKey = rows.get(rows.size() - 1).key().key();
+            readPage(lastKey + '\0', rows, version, sentMillis);
+          } else {
+            applyReadResult(Either.right(new Rows(rows, false, version)), true, sentMillis);
+          }
+        });
+  }
+
+  private void applyReadResult(
+      Either<CallFailure, Rows> result, boolean isWholeTable, long sentMillis) {
     long nowMillis = clock.monotonicMillis();
     if (result.isLeft()) {
       if (result.getLeft() == CallFailure.HISTORY_DISCARDED) {
@@ -178,9 +228,15 @@
         wavesChanged |= applyRow(row);
       }
     }
+    if (isWholeTable) {
+      evacuationRows.applyWholeTable(result.get().rows());
+    } else {
+      result.get().rows().forEach(evacuationRows::apply);
+    }
     if (wavesChanged) {
       onWaves.accept(ImmutableList.copyOf(waveByNumber.values()));
     }
+    onEvacuations.accept(evacuationRows.toEvacuations(sentMillis));
     readNext();
   }
 
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -105,7 +105,8 @@
             log,
             timer,
             config -> schedulerThread.execute(() -> scheduler.onConfig(config)),
-            waves -> schedulerThread.execute(() -> scheduler.onWaves(waves)));
+            waves -> schedulerThread.execute(() -> scheduler.onWaves(waves)),
+            evacuations -> schedulerThread.execute(() -> scheduler.onEvacuations(evacuations)));
     StoreHealth storeHealth = new WatchedStoreHealth();
     SubmissionWriter submissionWriter =
         SubmissionWriter.create(
@@ -122,6 +123,10 @@
         "sassafraslink_scheduling",
         "1 while this process holds the scheduling lease",
         () -> scheduler.isScheduling() ? 1 : 0);
+    metrics.registerGauge(
+        "sassafraslink_evacuated_zones",
+        "Availability zones that the operator has asked to evacuate",
+        configWatcher::evacuatedZoneCount);
     SchedulerLoadGauges.register(metrics, scheduler.load()::lastSecond);
     metrics.registerGauge(
         "sassafraslink_requests_in_flight",
--- a/entry/src/test/java/org/sassafraslink/entry/process/ConfigWatcherTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/process/ConfigWatcherTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import io.vavr.control.Either;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -13,7 +14,10 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sassafraslink.api.fleet.CallFailure;
+import org.sassafraslink.api.fleet.Evacuations;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.RowStore;
@@ -45,6 +49,13 @@
 
   private int retryDelayMillis;
 
+  /** Which listeners were called, in order. */
+  private final List<String> reports = new ArrayList<>();
+
+  private final List<String> logLines = new ArrayList<>();
+
+  private Evacuations lastEvacuations;
+
   private ConfigWatcher watcher;
 
   /** A store that answers reads only when the test calls for it. */
@@ -86,13 +97,17 @@
         ConfigWatcher.create(
             new ResponseTrackingRowStore(new ManualStore(), new TestClock()),
             new TestClock(),
-            EventLog.silent(),
+            EventLog.create("n", () -> nowMillis, logLines::add),
             (task, millis) -> {
               scheduledRetry = task;
               retryDelayMillis = millis;
             },
             this::receive,
-            waves -> {});
+            waves -> reports.add("waves"),
+            evacuations -> {
+              reports.add("evacuations");
+              lastEvacuations = evacuations;
+            });
     watcher.start();
   }
 
@@ -101,6 +116,7 @@
       throw new IllegalStateException("thrown by the test");
     }
     reportedVersions.add(settings.version());
+    reports.add("config");
   }
 
   private void answerNextRead(String... configs) {
@@ -111,6 +127,24 @@
     pendingReads.poll().accept(Either.right(new RowStore.Rows(rows.build(), false, 9)));
   }
 
+  private static RowStore.StoredRow row(String key, String value, boolean deleted) {
+    return new RowStore.StoredRow(new RowStore.RowKey("op", "", key), value, 3, deleted);
+  }
+
+  private static RowStore.StoredRow evacuation(String zone) {
+    return row("evacuate/" + zone, "{}", false);
+  }
+
+  private void answerNextReadWith(boolean hasMore, RowStore.StoredRow... rows) {
+    pendingReads
+        .poll()
+        .accept(Either.right(new RowStore.Rows(ImmutableList.copyOf(rows), hasMore, 9)));
+  }
+
+  private long countLogged(String event) {
+    return logLines.stream().filter(line -> line.contains('"' + event + '"')).count();
+  }
+
   private void failNextRead(CallFailure failure) {
     pendingReads.poll().accept(Either.left(failure));
   }
@@ -185,6 +219,75 @@
     assertTrue(watcher.isStoreOutageLikely(nowMillis));
   }
 
+  /** Guards against a scheduler that starts jobs before it knows the evacuations. */
+  @Test
+  void firstReadReportsEvacuationsAfterTheOtherRows() {
+    answerNextReadWith(
+        false,
+        row("config", configJson(5), false),
+        evacuation("a"),
+        row("wave/1", "{\"wave\":1,\"machines\":[]}", false));
+    assertEquals(List.of("config", "waves", "evacuations"), reports);
+    assertEquals(ImmutableSet.of("a"), lastEvacuations.zones());
+  }
+
+  /** Guards against evacuations behind the first page of a table with many rows. */
+  @Test
+  void firstReadReportsNothingBeforeLastPage() {
+    answerNextReadWith(true, evacuation("a"));
+    assertEquals(List.of(), reports);
+    answerNextReadWith(false, evacuation("b"));
+    assertEquals(ImmutableSet.of("a", "b"), lastEvacuations.zones());
+  }
+
+  /** Guards against an evacuation that goes on after its row was removed. */
+  @Test
+  void deletedRowWithdrawsEvacuation() {
+    answerNextReadWith(false, evacuation("a"), evacuation("b"));
+    answerNextReadWith(false, row("evacuate/a", "", true));
+    assertEquals(ImmutableSet.of("b"), lastEvacuations.zones());
+  }
+
+  /** Guards against missing a removal that the discarded history contained. */
+  @Test
+  void wholeReadWithdrawsEvacuationWithoutRow() {
+    answerNextReadWith(false, evacuation("a"), evacuation("b"));
+    failNextRead(CallFailure.HISTORY_DISCARDED);
+    scheduledRetry.run();
+    answerNextReadWith(false, evacuation("b"));
+    assertEquals(ImmutableSet.of("b"), lastEvacuations.zones());
+    assertEquals(1, countLogged("evacuation.withdrawn"));
+  }
+
+  /** Guards against starts in a zone because the value of its row says nothing. */
+  @ParameterizedTest
+  @ValueSource(strings = {"{}", "", "nonsense", "[1", "null"})
+  void rowIsRequestWhateverItsValue(String value) {
+    answerNextReadWith(false, row("evacuate/a", value, false));
+    answerNextReadWith(false, row("evacuate/a", value, false));
+    assertEquals(ImmutableSet.of("a"), lastEvacuations.zones());
+    assertEquals(1, countLogged("evacuation.requested"));
+  }
+
+  /** Guards against a row without a zone that evacuates all zones, or fills the log. */
+  @Test
+  void rowWithoutZoneIsIgnoredAndLoggedOnce() {
+    answerNextReadWith(false, evacuation(""), evacuation("b"));
+    answerNextReadWith(false, evacuation(""));
+    assertEquals(ImmutableSet.of("b"), lastEvacuations.zones());
+    assertEquals(1, countLogged("evacuation.unreadable"));
+  }
+
+  /** Guards against trusting a read for as long as its answer was on its way. */
+  @Test
+  void evacuationsAreAsOldAsTheRequest() {
+    answerNextReadWith(false);
+    long sentMillis = nowMillis;
+    nowMillis += 1_000;
+    answerNextReadWith(false);
+    assertEquals(sentMillis, lastEvacuations.verifiedAtMillis());
+  }
+
   @Test
   void readsWholeTableAfterHistoryWasDiscarded() {
     answerNextRead(configJson(5));
--- a/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
@@ -125,7 +125,8 @@
             EventLog.silent(),
             (task, millis) -> {},
             settings -> {},
-            waves -> {});
+            waves -> {},
+            evacuations -> {});
     watcher.start();
     SubmissionWriter writer =
         SubmissionWriter.create(
