--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -89,7 +89,8 @@
               /* moveMillis= */ 1_500,
               /* vmCommandsPerSecond= */ 64,
               /* unavailabilityThresholdMillis= */ 4_500,
-              /* maxBackfillImpactMillis= */ 4_000);
+              /* maxBackfillImpactMillis= */ 4_000,
+              /* maxEvacuationDelayMillis= */ Optional.empty());
       lease = new SchedulerLease(store, time, EventLog.silent(), settings, this, this);
       commandLog = new VmCommandLog(store, time, EventLog.silent(), lease, PAUSE_MILLIS);
       callStoreAndReschedule();
