Defer the jobs that cost callers least when a pool overflows

Cause: when not all waiting jobs of a pool could be in time, admission walked them by latest start and deferred each that no longer fitted. Neither the priority of the queue, nor the share of the team, nor the work counted, so one wide job could make several small ones late.

The priority of a queue is read as a number.

--- a/api/src/main/java/org/sassafraslink/api/fleet/QueueConfig.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/QueueConfig.java
@@ -9,7 +9,8 @@
  * @param pathPrefix the prefix of the paths of its jobs; ends with a slash
  * @param pool the service whose workers run its tasks
  * @param open whether jobs are accepted without a key
- * @param urgent whether its jobs may preempt jobs of other queues
+ * @param priority its priority against other queues of the pool when there is too little room for
+ *     the jobs of all; 0 is the highest
  * @param maxFailures a job fails when one of its tasks has failed this many times
  * @param slackFactor multiplied by the duration of a job's longest chain of dependent steps to get
  *     the variable part of the objective for the completion time of the job
@@ -23,7 +24,7 @@
     String pathPrefix,
     String pool,
     boolean open,
-    boolean urgent,
+    int priority,
     int maxFailures,
     double slackFactor,
     long targetLatencyMillis,
--- a/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
@@ -253,7 +253,7 @@
               "/" + name + "/",
               name,
               /* open= */ false,
-              /* urgent= */ true,
+              /* priority= */ 0,
               /* maxFailures= */ 3,
               /* slackFactor= */ 2,
               /* targetLatencyMillis= */ 1_500,
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DeadlineAdmission.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DeadlineAdmission.java
@@ -1,7 +1,10 @@
 package org.sassafraslink.scheduler;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.StepSpec;
 
@@ -12,8 +15,8 @@
  * <p>In an overload, placing the job with the earliest deadline first makes nearly every job late,
  * since each starts only when its slack is used up. A job that would start too late behind the
  * admitted jobs before it is therefore not admitted, and is placed after all admitted jobs. A job
- * that has already started is always admitted, so that the work done for it is not wasted. Which
- * jobs are not admitted depends on when they were accepted, not on their size or team.
+ * that has already started is always admitted, so that the work done for it is not wasted. When
+ * some job is not admitted, {@link OverloadDeferral} chooses which jobs wait instead.
  */
 final class DeadlineAdmission {
   /**
@@ -33,6 +36,9 @@
    */
   private double queuedWorkMillis;
 
+  /** The part of {@link #queuedWorkMillis} that is for running tasks, by team. */
+  private final Map<String, Double> runningMillisByTeam = new HashMap<>();
+
   private DeadlineAdmission(DurationModel durationModel, Resources capacity) {
     this.durationModel = durationModel;
     this.capacity = capacity;
@@ -56,8 +62,9 @@
     for (Worker worker : workers) {
       for (Task task : worker.tasks()) {
         if (!task.step.longRunning()) {
-          admission.queuedWorkMillis +=
-              RUNNING_REMAINING_FRACTION * admission.wholePoolMillis(task);
+          double remainingMillis = RUNNING_REMAINING_FRACTION * admission.wholePoolMillis(task);
+          admission.queuedWorkMillis += remainingMillis;
+          admission.runningMillisByTeam.merge(task.job.spec.team(), remainingMillis, Double::sum);
         }
       }
     }
@@ -78,8 +85,13 @@
     return isAdmitted;
   }
 
+  /** Returns how long the whole pool will work on the running tasks of each team, in ms. */
+  ImmutableMap<String, Double> runningMillisByTeam() {
+    return ImmutableMap.copyOf(runningMillisByTeam);
+  }
+
   /** Returns how long the whole pool would work on the waiting tasks of due occurrences, in ms. */
-  private double waitingWorkMillis(Job job, long wallMillis) {
+  double waitingWorkMillis(Job job, long wallMillis) {
     double totalMillis = 0;
     for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
       if (job.spec.dueMillis(occurrence) <= wallMillis) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -12,6 +13,7 @@
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.TaskId;
+import org.sassafraslink.scheduler.queue.SizeClass;
 
 /**
  * A live job: its state, its tasks, and which of its changes are committed.
@@ -43,6 +45,9 @@
    */
   boolean justifiesMoreWorkers = true;
 
+  /** Its size among the jobs of its queue; empty until it is first ranked as in time. */
+  Optional<SizeClass> sizeClass = Optional.empty();
+
   /** Whether its submitter has requested its cancellation. */
   boolean cancelRequested;
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -15,6 +15,7 @@
 import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.OverloadDeferral.InTimeJob;
 
 /**
  * Assigns waiting tasks to workers in the order of their jobs' ranks, within the workers'
@@ -29,6 +30,7 @@
   private final AdviceTicketCache adviceTickets;
   private final Predicate<Worker> isSurplus;
   private final EventLog log;
+  private final OverloadDeferral overloadDeferral;
   private Backlog backlog = new Backlog();
   private UnplaceableNeeds unplaceableNeeds = new UnplaceableNeeds();
 
@@ -48,10 +50,19 @@
     this.adviceTickets = adviceTickets;
     this.isSurplus = isSurplus;
     this.log = log;
+    this.overloadDeferral = new OverloadDeferral(config, durationModel, log);
   }
 
   /** A job in one placement round, with its queue, its rank and the tasks that can start. */
-  private record Candidate(Job job, QueueConfig queue, JobOrder.Rank rank, List<Task> tasks) {}
+  private record Candidate(Job job, QueueConfig queue, JobOrder.Rank rank, List<Task> tasks) {
+    InTimeJob inTimeJob() {
+      return new InTimeJob(job, queue, rank.sortKeyMillis());
+    }
+
+    Candidate deferred() {
+      return new Candidate(job, queue, rank.deferred(), tasks);
+    }
+  }
 
   /** Returns the backlog that the last placement round left. */
   Backlog backlog() {
@@ -87,12 +98,13 @@
     usableByPool.forEach(
         (pool, usable) ->
             nonSurplusByPool.put(pool, usable.stream().filter(isSurplus.negate()).toList()));
-    for (Candidate candidate : sortByRank(candidates, usableByPool, wallMillis)) {
+    for (Candidate candidate : sortByRank(candidates, usableByPool, nowMillis, wallMillis)) {
       candidate.job().justifiesMoreWorkers = candidate.rank().justifiesMoreWorkers();
       Map<String, List<Worker>> workersByPool =
           candidate.rank().justifiesMoreWorkers() ? usableByPool : nonSurplusByPool;
       if (placeCandidate(candidate, workersByPool.get(candidate.queue().pool()), nowMillis)) {
         changedJobs.add(candidate.job());
+        overloadDeferral.recordStart(candidate.job(), candidate.queue(), nowMillis);
       }
     }
     adviceTickets.callIfDue(nowMillis);
@@ -100,29 +112,32 @@
   }
 
   /**
-   * Sorts candidates by rank. A job that {@link DeadlineAdmission} does not admit, because it
-   * cannot be in time behind the jobs before it, is ranked later, as a deferred job.
+   * Sorts candidates by rank. Jobs that {@link OverloadDeferral} defers, because their pool can't
+   * serve all jobs in time, are ranked later.
    */
   private List<Candidate> sortByRank(
-      List<Candidate> candidates, Map<String, List<Worker>> usableByPool, long wallMillis) {
+      List<Candidate> candidates,
+      Map<String, List<Worker>> usableByPool,
+      long nowMillis,
+      long wallMillis) {
     candidates.sort(Comparator.comparing(Candidate::rank));
-    Map<String, DeadlineAdmission> admissionByPool = new HashMap<>();
+    Map<String, List<InTimeJob>> inTimeByPool = new HashMap<>();
+    for (Candidate candidate : candidates) {
+      if (candidate.rank().isInTime()) {
+        inTimeByPool
+            .computeIfAbsent(candidate.queue().pool(), pool -> new ArrayList<>())
+            .add(candidate.inTimeJob());
+      }
+    }
+    Set<String> deferred = new HashSet<>();
+    inTimeByPool.forEach(
+        (pool, jobs) ->
+            deferred.addAll(
+                overloadDeferral.deferredJobs(
+                    pool, jobs, usableByPool.get(pool), nowMillis, wallMillis)));
     List<Candidate> ranked = new ArrayList<>(candidates.size());
     for (Candidate candidate : candidates) {
-      JobOrder.Rank rank = candidate.rank();
-      String pool = candidate.queue().pool();
-      boolean isDeferred =
-          rank.isInTime()
-              && !admissionByPool
-                  .computeIfAbsent(
-                      pool,
-                      name -> DeadlineAdmission.forWorkers(durationModel, usableByPool.get(name)))
-                  .admits(candidate.job(), rank.sortKeyMillis(), wallMillis);
-      ranked.add(
-          isDeferred
-              ? new Candidate(
-                  candidate.job(), candidate.queue(), rank.deferred(), candidate.tasks())
-              : candidate);
+      ranked.add(deferred.contains(candidate.job().spec.id()) ? candidate.deferred() : candidate);
     }
     ranked.sort(Comparator.comparing(Candidate::rank));
     return ranked;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PublishedConfig.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PublishedConfig.java
@@ -24,6 +24,9 @@
           /* targetLatencyMillis= */ 1_000,
           /* advice= */ Optional.empty());
 
+  /** The priority of jobs whose queue has been removed from the configuration. */
+  private static final int UNKNOWN_PRIORITY = 1;
+
   private final Map<String, QueueConfig> lastKnownQueues = new HashMap<>();
   private Optional<FleetSettings> settings = Optional.empty();
 
@@ -58,7 +61,7 @@
         /* pathPrefix= */ "",
         job.pool(),
         /* open= */ false,
-        /* urgent= */ false,
+        UNKNOWN_PRIORITY,
         terms.maxFailures(),
         terms.slackFactor(),
         terms.targetLatencyMillis(),
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/RemovedQueueTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/RemovedQueueTest.java
@@ -55,7 +55,7 @@
         queue.pathPrefix(),
         queue.pool(),
         queue.open(),
-        queue.urgent(),
+        queue.priority(),
         maxFailures,
         queue.slackFactor(),
         queue.targetLatencyMillis(),
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
@@ -16,7 +16,7 @@
           "/q/",
           "pool",
           /* open= */ false,
-          /* urgent= */ false,
+          /* priority= */ 1,
           /* maxFailures= */ 3,
           /* slackFactor= */ 2,
           /* targetLatencyMillis= */ 600,
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimLayout.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimLayout.java
@@ -128,7 +128,7 @@
         "/" + name + "/",
         pool,
         open,
-        /* urgent= */ true,
+        /* priority= */ 0,
         MAX_FAILURES,
         /* slackFactor= */ 2,
         /* targetLatencyMillis= */ 600,
