--- a/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TestJobs.java
@@ -81,9 +81,13 @@
   }
 
   static Job jobAcceptedAt(long acceptedMillis, StepSpec... steps) {
+    return jobAcceptedAt("job", acceptedMillis, steps);
+  }
+
+  static Job jobAcceptedAt(String id, long acceptedMillis, StepSpec... steps) {
     JobSpec spec =
         new JobSpec(
-            "job",
+            id,
             "queue",
             "pool",
             "team",
