Split PoolAutoscaler: needs, movable VMs, power-off and shortage log

Change: PoolNeeds, MovableVms, IdleVmPowerOff and PoolShortageLog hold the code that was in it, unchanged.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -1,20 +1,12 @@
 package org.sassafraslink.scheduler;
 
 import com.google.common.collect.ImmutableSet;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.FleetSettings.PoolConfig;
 import org.sassafraslink.api.fleet.Resources;
-import org.sassafraslink.api.fleet.VmClient.Vm;
-import org.sassafraslink.api.fleet.VmClient.VmState;
 import org.sassafraslink.api.log.EventLog;
 
 /**
@@ -30,24 +22,6 @@
  * other jobs, and no VM of a pool is powered off that their waiting tasks could use.
  */
 final class PoolAutoscaler {
-  /**
-   * A VM is powered off after being empty for this long, in ms. An empty VM costs as much in this
-   * time as two moves.
-   */
-  private static final long IDLE_BEFORE_POWER_OFF_MILLIS = 2_300;
-
-  /**
-   * As {@link #IDLE_BEFORE_POWER_OFF_MILLIS}, for a VM of a pool whose demand falls: it will hardly
-   * be needed again soon.
-   */
-  private static final long IDLE_BEFORE_POWER_OFF_IF_FALLING_MILLIS = 1_200;
-
-  /** A VM may be moved to a pool that is short of VMs after being empty for this long, in ms. */
-  private static final long IDLE_BEFORE_MOVE_MILLIS = 600;
-
-  /** As {@link #IDLE_BEFORE_MOVE_MILLIS}, for a VM that is surplus in its own pool. */
-  private static final long SURPLUS_IDLE_BEFORE_MOVE_MILLIS = 200;
-
   /**
    * A surplus VM that has been empty for this long, in ms, without being moved gets tasks of late
    * and excess jobs again, because no task may wait for 3 s while VMs are idle.
@@ -57,22 +31,17 @@
   /** Time between two adjustments, in ms, since each one visits all workers. */
   private static final long ADJUSTMENT_INTERVAL_MILLIS = 50;
 
-  /** Number of workers that a pool always keeps. */
-  private static final int MIN_WORKERS = 2;
-
-  /** Time between two log lines about the same pool being short of VMs, in ms. */
-  private static final long SHORTAGE_LOG_INTERVAL_MILLIS = 1_000;
-
-  private final EventLog log;
   private final SchedulerLease lease;
   private final WorkerRegistry workers;
   private final PublishedConfig config;
-  private final PoolDemand poolDemand;
   private final VmInventory vmInventory;
   private final VmMover vmMover;
-  private final Predicate<String> isDueForMaintenance;
 
   private final EmptyWorkers emptyWorkers = new EmptyWorkers();
+  private final PoolNeeds poolNeeds;
+  private final MovableVms movableVms;
+  private final IdleVmPowerOff idleVmPowerOff;
+  private final PoolShortageLog shortageLog;
 
   private ImmutableSet<Worker> surplusWorkers = ImmutableSet.of();
 
@@ -81,11 +50,6 @@
 
   private long nextAdjustmentMillis;
 
-  /** The usage of each pool, kept up to date with the moves that an adjustment starts. */
-  private final Map<String, PoolUsage> usageByPool = new HashMap<>();
-
-  private final Map<String, Long> nextShortageLogMillisByPool = new HashMap<>();
-
   PoolAutoscaler(
       EventLog log,
       SchedulerLease lease,
@@ -95,14 +59,24 @@
       VmInventory vmInventory,
       VmMover vmMover,
       Predicate<String> isDueForMaintenance) {
-    this.log = log;
     this.lease = lease;
     this.workers = workers;
     this.config = config;
-    this.poolDemand = poolDemand;
     this.vmInventory = vmInventory;
     this.vmMover = vmMover;
-    this.isDueForMaintenance = isDueForMaintenance;
+    this.poolNeeds = new PoolNeeds(poolDemand);
+    this.movableVms =
+        new MovableVms(
+            config,
+            emptyWorkers,
+            poolNeeds,
+            vmInventory,
+            vmMover,
+            isDueForMaintenance,
+            this::isSurplus);
+    this.idleVmPowerOff =
+        new IdleVmPowerOff(config, emptyWorkers, poolNeeds, movableVms, isDueForMaintenance);
+    this.shortageLog = new PoolShortageLog(log, movableVms);
   }
 
   /** Discards all state, because this process has just acquired the scheduling lease. */
@@ -123,8 +97,7 @@
     List<Worker> allWorkers = workers.all();
     emptyWorkers.update(allWorkers, nowMillis);
     vmMover.removeFinishedMoves(nowMillis);
-    usageByPool.clear();
-    usageByPool.putAll(PoolUsage.byPool(allWorkers));
+    poolNeeds.update(allWorkers);
     updateSurplusWorkers(settings.get(), backlog, nowMillis);
     vmInventory.refreshIfDue(nowMillis);
     if (!vmInventory.isFresh(nowMillis)) {
@@ -133,9 +106,7 @@
       return;
     }
     addVms(settings.get(), backlog, nowMillis);
-    config
-        .standbyPool()
-        .ifPresent(standbyPool -> powerOffIdleVms(standbyPool, settings.get(), backlog, nowMillis));
+    config.standbyPool().ifPresent(standbyPool -> powerOffIdleVms(standbyPool, backlog, nowMillis));
   }
 
   /** Returns whether a pool waits for VMs, because moves to it are in progress or found no VM. */
@@ -170,7 +141,7 @@
                 .filter(worker -> worker.cordonReason.isEmpty())
                 .toList();
         Resources needed = neededInTime(pool.name(), backlog, nowMillis);
-        SurplusWorkers.of(poolWorkers, needed, MIN_WORKERS).stream()
+        SurplusWorkers.of(poolWorkers, needed, PoolNeeds.MIN_WORKERS).stream()
             .filter(worker -> emptyWorkers.emptyMillis(worker, nowMillis) < MAX_SURPLUS_IDLE_MILLIS)
             .forEach(newSurplus::add);
       }
@@ -180,11 +151,7 @@
 
   /** Returns what a pool needs for long-running jobs and jobs that can be in time. */
   Resources neededInTime(String pool, Backlog backlog, long nowMillis) {
-    return poolDemand.neededInTime(pool, usageOf(pool), backlog, nowMillis);
-  }
-
-  private PoolUsage usageOf(String pool) {
-    return usageByPool.getOrDefault(pool, PoolUsage.EMPTY);
+    return poolNeeds.neededInTime(pool, backlog, nowMillis);
   }
 
   /**
@@ -211,8 +178,7 @@
   /** Starts moves for jobs in time; returns false if some of the VMs could not be found. */
   private boolean addVmsForJobsInTime(String pool, Backlog backlog, long nowMillis) {
     Backlog.PoolBacklog poolBacklog = backlog.forPool(pool);
-    PoolUsage usage = usageOf(pool);
-    Resources neededForArrivals = poolDemand.neededForArrivals(pool, usage, nowMillis);
+    Resources neededForArrivals = poolNeeds.neededForArrivals(pool, nowMillis);
     if (poolBacklog.tasks() == 0 && neededForArrivals.equals(Resources.NONE)) {
       return true;
     }
@@ -221,8 +187,8 @@
             poolBacklog,
             neededForArrivals,
             backlog.workersForLongRunning(pool),
-            usage,
-            vmCapacityOf(usage));
+            poolNeeds.usageOf(pool),
+            poolNeeds.vmCapacityOf(pool));
     String reason =
         "backlog of "
             + poolBacklog.tasks()
@@ -237,22 +203,13 @@
     if (lateTasks == 0) {
       return;
     }
-    PoolUsage usage = usageOf(pool);
-    Resources needed = poolDemand.neededToCatchUp(pool, usage, backlog, nowMillis);
+    Resources needed = poolNeeds.neededToCatchUp(pool, backlog, nowMillis);
     int missing =
-        PoolDemand.missingForSteadyNeed(needed, usage.uncordonedCapacity(), vmCapacityOf(usage));
+        PoolDemand.missingForSteadyNeed(
+            needed, poolNeeds.usageOf(pool).uncordonedCapacity(), poolNeeds.vmCapacityOf(pool));
     moveVmsTo(pool, missing, "late backlog of " + lateTasks + " tasks", backlog, nowMillis);
   }
 
-  private Resources vmCapacityOf(PoolUsage usage) {
-    return usage.workers() > 0
-        ? usage.vmCapacity()
-        : workers.all().stream()
-            .map(worker -> worker.entry.capacity())
-            .findFirst()
-            .orElse(Resources.NONE);
-  }
-
   /**
    * Starts moves of VMs to a pool until {@code missing} are in progress or the platform's rate is
    * used up. Returns false if too few VMs can be moved.
@@ -260,9 +217,9 @@
   private boolean moveVmsTo(
       String pool, int missing, String reason, Backlog backlog, long nowMillis) {
     for (long i = vmMover.countMovesTo(pool); i < missing && vmMover.canStartMove(nowMillis); i++) {
-      Optional<String> vm = findMovableVm(pool, backlog, nowMillis);
+      Optional<String> vm = movableVms.findVmFor(pool, backlog, nowMillis);
       if (vm.isEmpty()) {
-        logShortage(pool, missing - i, backlog, nowMillis);
+        shortageLog.logShortage(pool, missing - i, workers.all(), backlog, nowMillis);
         return false;
       }
       startMove(vm.get(), pool, reason, nowMillis);
@@ -271,150 +228,16 @@
   }
 
   private void startMove(String vm, String pool, String reason, long nowMillis) {
-    workers
-        .listedOnVm(vm)
-        .ifPresent(
-            worker ->
-                usageByPool.computeIfPresent(
-                    worker.entry.pool(),
-                    (name, usage) -> usage.afterCordoningVm(worker.entry.capacity())));
+    workers.listedOnVm(vm).ifPresent(poolNeeds::removeCapacityOf);
     vmMover.move(vm, pool, reason, nowMillis);
   }
 
-  /** Returns whether a worker's pool can spare its VM for a pool that is short of VMs. */
-  private boolean canSpareForOther(Worker worker, Backlog backlog, long nowMillis) {
-    String pool = worker.entry.pool();
-    PoolUsage usage = usageOf(pool);
-    // Late and excess jobs have to leave surplus workers to the other pool.
-    Resources needed =
-        surplusWorkers.contains(worker)
-            ? poolDemand.neededInTime(pool, usage, backlog, nowMillis)
-            : poolDemand.neededForAllJobs(pool, usage, backlog, nowMillis);
-    return PoolDemand.canSpareVm(usage, worker.entry.capacity(), needed);
-  }
-
-  /** Returns whether a worker's pool does not need its VM for any accepted job. */
-  private boolean canPowerOff(Worker worker, Backlog backlog, long nowMillis) {
-    String pool = worker.entry.pool();
-    PoolUsage usage = usageOf(pool);
-    Resources needed = poolDemand.neededForAllJobs(pool, usage, backlog, nowMillis);
-    return PoolDemand.canSpareVm(usage, worker.entry.capacity(), needed);
-  }
-
-  /**
-   * Finds an empty VM that another pool does not need, or else one in the standby pool. Prefers VMs
-   * that are not due for maintenance: the others get it while powered off.
-   */
-  private Optional<String> findMovableVm(String pool, Backlog backlog, long nowMillis) {
-    for (Worker worker : emptyWorkersBy(worker -> isDueForMaintenance.test(worker.entry.vm()))) {
-      String currentPool = worker.entry.pool();
-      long requiredIdleMillis =
-          surplusWorkers.contains(worker)
-              ? SURPLUS_IDLE_BEFORE_MOVE_MILLIS
-              : IDLE_BEFORE_MOVE_MILLIS;
-      boolean isIdle = emptyWorkers.emptyMillis(worker, nowMillis) >= requiredIdleMillis;
-      boolean isMovableNow =
-          !currentPool.equals(pool)
-              && backlog.forPool(currentPool).tasks() == 0
-              && usageOf(currentPool).uncordonedWorkers() > MIN_WORKERS
-              && isWorkerMovable(worker, pool, nowMillis)
-              && canSpareForOther(worker, backlog, nowMillis);
-      if (isIdle && isMovableNow) {
-        return Optional.of(worker.entry.vm());
-      }
-    }
-    Optional<String> standbyPool = config.standbyPool();
-    return vmInventory.vms().stream()
-        .filter(vm -> standbyPool.equals(Optional.of(vm.pool())))
-        .filter(vm -> vm.state() == VmState.UP)
-        .map(Vm::id)
-        .filter(vm -> vmMover.mayMove(vm, pool, nowMillis))
-        .min(Comparator.comparing(isDueForMaintenance::test));
-  }
-
-  /** Logs, at most once a second per pool, how many workers cannot be moved to it, by reason. */
-  private void logShortage(String pool, long missing, Backlog backlog, long nowMillis) {
-    if (nowMillis < nextShortageLogMillisByPool.getOrDefault(pool, 0L)) {
-      return;
-    }
-    nextShortageLogMillisByPool.put(pool, nowMillis + SHORTAGE_LOG_INTERVAL_MILLIS);
-    Map<String, Long> workersByReason =
-        workers.all().stream()
-            .filter(worker -> !worker.entry.pool().equals(pool))
-            .collect(
-                Collectors.groupingBy(
-                    worker -> reasonNotMoved(worker, pool, backlog, nowMillis),
-                    TreeMap::new,
-                    Collectors.counting()));
-    log.log("pool.short", "pool", pool, "missing", missing, "others", workersByReason);
-  }
-
-  /** Returns the first reason for which a worker's VM cannot be moved to a pool. */
-  private String reasonNotMoved(Worker worker, String pool, Backlog backlog, long nowMillis) {
-    String currentPool = worker.entry.pool();
-    if (!worker.cordonReason.isEmpty()) {
-      return "cordoned";
-    } else if (!worker.isSafeToRemove()) {
-      return worker.tasks().stream().allMatch(task -> task.step.longRunning()) ? "lasting" : "busy";
-    } else if (emptyWorkers.emptyMillis(worker, nowMillis) < IDLE_BEFORE_MOVE_MILLIS) {
-      return "just_idle";
-    } else if (backlog.forPool(currentPool).tasks() > 0) {
-      return "own_backlog";
-    } else if (!vmMover.mayMove(worker.entry.vm(), pool, nowMillis)) {
-      return "paused";
-    } else if (!canSpareForOther(worker, backlog, nowMillis)) {
-      return "needed";
-    }
-    return isWorkerMovable(worker, pool, nowMillis) ? "smallest_pool" : "not_movable";
-  }
-
-  /** Returns whether a worker is reachable, uncordoned and empty, and its VM may be moved. */
-  private boolean isWorkerMovable(Worker worker, String pool, long nowMillis) {
-    return worker.listed
-        && worker.hasReported
-        && worker.isSafeToRemove()
-        && !worker.entry.draining()
-        && worker.consecutiveCallFailures == 0
-        && worker.cordonReason.isEmpty()
-        && !worker.entry.vm().isEmpty()
-        && vmMover.mayMove(worker.entry.vm(), pool, nowMillis);
-  }
-
-  /** Returns the empty workers, those for which {@code isLast} is true after the others. */
-  private List<Worker> emptyWorkersBy(Predicate<Worker> isLast) {
-    List<Worker> first = new ArrayList<>();
-    List<Worker> last = new ArrayList<>();
-    for (Worker worker : emptyWorkers.all()) {
-      (isLast.test(worker) ? last : first).add(worker);
-    }
-    first.addAll(last);
-    return first;
-  }
-
-  private void powerOffIdleVms(
-      String standbyPool, FleetSettings settings, Backlog backlog, long nowMillis) {
-    for (Worker worker : emptyWorkersBy(worker -> !isDueForMaintenance.test(worker.entry.vm()))) {
-      String currentPool = worker.entry.pool();
-      PoolConfig poolConfig = settings.pools().get(currentPool);
-      long requiredIdleMillis =
-          poolDemand.isFalling(currentPool, nowMillis)
-              ? IDLE_BEFORE_POWER_OFF_IF_FALLING_MILLIS
-              : IDLE_BEFORE_POWER_OFF_MILLIS;
-      boolean isIdle = emptyWorkers.emptyMillis(worker, nowMillis) >= requiredIdleMillis;
-      boolean isUnneeded =
-          poolConfig != null
-              && !poolConfig.standby()
-              && backlog.forPool(currentPool).tasks() == 0
-              && usageOf(currentPool).uncordonedWorkers() > MIN_WORKERS;
-      boolean mayPowerOff =
-          isIdle
-              && isUnneeded
-              && vmMover.canStartMove(nowMillis)
-              && isWorkerMovable(worker, standbyPool, nowMillis)
-              && canPowerOff(worker, backlog, nowMillis);
-      if (mayPowerOff) {
-        startMove(worker.entry.vm(), standbyPool, "idle", nowMillis);
-      }
-    }
+  private void powerOffIdleVms(String standbyPool, Backlog backlog, long nowMillis) {
+    idleVmPowerOff.powerOff(
+        standbyPool,
+        backlog,
+        nowMillis,
+        () -> vmMover.canStartMove(nowMillis),
+        worker -> startMove(worker.entry.vm(), standbyPool, "idle", nowMillis));
   }
 }
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolNeeds.java
@@ -0,0 +1,87 @@
+package org.sassafraslink.scheduler;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sassafraslink.api.fleet.Resources;
+
+/**
+ * What each pool has and needs during one adjustment of the pools, kept up to date with the moves
+ * that the adjustment starts.
+ */
+final class PoolNeeds {
+  /** Number of workers that a pool always keeps. */
+  static final int MIN_WORKERS = 2;
+
+  private final PoolDemand poolDemand;
+  private final Map<String, PoolUsage> usageByPool = new HashMap<>();
+
+  /** The capacity of a VM for a pool without workers. */
+  private Resources defaultVmCapacity = Resources.NONE;
+
+  PoolNeeds(PoolDemand poolDemand) {
+    this.poolDemand = poolDemand;
+  }
+
+  /** Replaces the usage of all pools. */
+  void update(List<Worker> allWorkers) {
+    usageByPool.clear();
+    usageByPool.putAll(PoolUsage.byPool(allWorkers));
+    defaultVmCapacity = allWorkers.isEmpty() ? Resources.NONE : allWorkers.get(0).entry.capacity();
+  }
+
+  PoolUsage usageOf(String pool) {
+    return usageByPool.getOrDefault(pool, PoolUsage.EMPTY);
+  }
+
+  /** Returns the capacity that one more VM would add to a pool. */
+  Resources vmCapacityOf(String pool) {
+    PoolUsage usage = usageOf(pool);
+    return usage.workers() > 0 ? usage.vmCapacity() : defaultVmCapacity;
+  }
+
+  /** Returns whether a pool keeps its minimum of workers with one VM less. */
+  boolean hasMoreThanMinWorkers(String pool) {
+    return usageOf(pool).uncordonedWorkers() > MIN_WORKERS;
+  }
+
+  /** Removes the capacity of a worker whose VM leaves its pool. */
+  void removeCapacityOf(Worker worker) {
+    usageByPool.computeIfPresent(
+        worker.entry.pool(), (name, usage) -> usage.afterCordoningVm(worker.entry.capacity()));
+  }
+
+  /** Returns what a pool needs for long-running jobs and jobs that can be in time. */
+  Resources neededInTime(String pool, Backlog backlog, long nowMillis) {
+    return poolDemand.neededInTime(pool, usageOf(pool), backlog, nowMillis);
+  }
+
+  /** Returns what a pool needs for work arriving at the current rate. */
+  Resources neededForArrivals(String pool, long nowMillis) {
+    return poolDemand.neededForArrivals(pool, usageOf(pool), nowMillis);
+  }
+
+  /** Returns what a pool needs to be done with its late and excess jobs soon. */
+  Resources neededToCatchUp(String pool, Backlog backlog, long nowMillis) {
+    return poolDemand.neededToCatchUp(pool, usageOf(pool), backlog, nowMillis);
+  }
+
+  /** Returns whether the work that arrives in a pool has become much less in the last second. */
+  boolean isFalling(String pool, long nowMillis) {
+    return poolDemand.isFalling(pool, nowMillis);
+  }
+
+  /** Returns whether a pool needs a worker's VM neither for jobs in time nor for any other. */
+  boolean canSpareForAllJobs(Worker worker, Backlog backlog, long nowMillis) {
+    String pool = worker.entry.pool();
+    Resources needed = poolDemand.neededForAllJobs(pool, usageOf(pool), backlog, nowMillis);
+    return PoolDemand.canSpareVm(usageOf(pool), worker.entry.capacity(), needed);
+  }
+
+  /** Returns whether a pool does not need a worker's VM for jobs in time. */
+  boolean canSpareForJobsInTime(Worker worker, Backlog backlog, long nowMillis) {
+    String pool = worker.entry.pool();
+    Resources needed = neededInTime(pool, backlog, nowMillis);
+    return PoolDemand.canSpareVm(usageOf(pool), worker.entry.capacity(), needed);
+  }
+}
