Jobs in time of any pool before late work of another

Cause: late tasks were placed on all workers that had any task in time, so hardly any worker became empty while another pool was short of VMs; and the first pool in the configuration took all moves. Change: the workers that are empty first are drained (DrainChoice), at most as many as other pools lack; VMs are divided by max-min fair shares, weighted by urgent work (PoolShares).

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Backlog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Backlog.java
@@ -73,7 +73,17 @@
   private final Map<String, PoolBacklog> backlogByPool = new HashMap<>();
   private final Map<WaitingStep, Integer> waitingLongRunning = new HashMap<>();
   private final Map<String, LateBacklog> lateBacklogByPool = new HashMap<>();
+  private final Map<String, Integer> urgentTasksByPool = new HashMap<>();
 
+  /** Adds a task of a job in time or of a long-running job. */
+  void add(String pool, Task task, boolean isUrgent) {
+    add(pool, task);
+    if (isUrgent) {
+      urgentTasksByPool.merge(pool, 1, Integer::sum);
+    }
+  }
+
+  /** As {@link #add(String, Task, boolean)}, for a task that is not urgent. */
   void add(String pool, Task task) {
     backlogByPool.merge(pool, PoolBacklog.EMPTY.plus(task), (current, added) -> current.plus(task));
     if (task.step.longRunning()) {
@@ -98,6 +108,11 @@
     return needed;
   }
 
+  /** Returns which fraction of the tasks of {@link #forPool} belongs to urgent queues. */
+  double urgentFraction(String pool) {
+    return urgentTasksByPool.getOrDefault(pool, 0) / Math.max(1.0, forPool(pool).tasks());
+  }
+
   /** Adds a task of a late or excess job. */
   void addLate(String pool, Task task, double expectedMillis) {
     lateBacklogByPool.put(pool, lateForPool(pool).plus(task, expectedMillis));
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
@@ -125,12 +125,15 @@
    * The work that arrives in a pool.
    *
    * @param averageUse the resources used on average while work goes on arriving at the current rate
+   * @param averageUseIfFalling as {@code averageUse}, or less if the rate is falling: what is used
+   *     if it does not rise again
    * @param isRising whether the rate has risen recently, so that it may rise further
    * @param isFalling whether the rate of the last moments is less than half of that of the last
    *     second
    */
-  record Estimate(Resources averageUse, boolean isRising, boolean isFalling) {
-    static final Estimate NONE = new Estimate(Resources.NONE, false, false);
+  record Estimate(
+      Resources averageUse, Resources averageUseIfFalling, boolean isRising, boolean isFalling) {
+    static final Estimate NONE = new Estimate(Resources.NONE, Resources.NONE, false, false);
   }
 
   /** Returns the estimate for a pool. */
@@ -142,7 +145,10 @@
     work.decayTo(nowMillis);
     Resources steady = work.steady().average(1);
     Resources burst = work.burst().cautiousAverage();
-    boolean isFalling = steady.covers(work.burst().average(2));
-    return new Estimate(steady.max(burst), !steady.covers(burst), isFalling);
+    Resources twiceLatest = work.burst().average(2);
+    boolean isFalling = steady.covers(twiceLatest);
+    Resources averageUse = steady.max(burst);
+    return new Estimate(
+        averageUse, isFalling ? twiceLatest : averageUse, !steady.covers(burst), isFalling);
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MovableVms.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MovableVms.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.sassafraslink.api.fleet.VmClient.Vm;
 import org.sassafraslink.api.fleet.VmClient.VmState;
 
@@ -13,9 +14,6 @@
   /** A VM may be moved to a pool that is short of VMs after being empty for this long, in ms. */
   private static final long IDLE_BEFORE_MOVE_MILLIS = 600;
 
-  /** As {@link #IDLE_BEFORE_MOVE_MILLIS}, for a VM that is surplus in its own pool. */
-  private static final long SURPLUS_IDLE_BEFORE_MOVE_MILLIS = 200;
-
   private final PublishedConfig config;
   private final EmptyWorkers emptyWorkers;
   private final PoolNeeds poolNeeds;
@@ -48,26 +46,28 @@
   Optional<String> findVmFor(String pool, Backlog backlog, long nowMillis) {
     for (Worker worker : emptyWorkersBy(worker -> isDueForMaintenance.test(worker.entry.vm()))) {
       String currentPool = worker.entry.pool();
-      long requiredIdleMillis =
-          isSurplus.test(worker) ? SURPLUS_IDLE_BEFORE_MOVE_MILLIS : IDLE_BEFORE_MOVE_MILLIS;
-      boolean isIdle = emptyWorkers.emptyMillis(worker, nowMillis) >= requiredIdleMillis;
-      boolean isMovableNow =
-          !currentPool.equals(pool)
-              && backlog.forPool(currentPool).tasks() == 0
-              && poolNeeds.hasMoreThanMinWorkers(currentPool)
-              && isWorkerMovable(worker, pool, nowMillis)
-              && canSpareForOther(worker, backlog, nowMillis);
-      if (isIdle && isMovableNow) {
+      if (!currentPool.equals(pool)
+          && poolNeeds.hasMoreThanMinWorkers(currentPool)
+          && isWorkerMovable(worker, pool, nowMillis)
+          && canSpareForOther(worker, backlog, nowMillis)) {
         return Optional.of(worker.entry.vm());
       }
     }
+    return standbyVmsFor(pool, nowMillis).min(Comparator.comparing(isDueForMaintenance::test));
+  }
+
+  /** Returns how many VMs of the standby pool may be moved to a pool now. */
+  long countStandbyVmsFor(String pool, long nowMillis) {
+    return standbyVmsFor(pool, nowMillis).count();
+  }
+
+  private Stream<String> standbyVmsFor(String pool, long nowMillis) {
     Optional<String> standbyPool = config.standbyPool();
     return vmInventory.vms().stream()
         .filter(vm -> standbyPool.equals(Optional.of(vm.pool())))
         .filter(vm -> vm.state() == VmState.UP)
         .map(Vm::id)
-        .filter(vm -> vmMover.mayMove(vm, pool, nowMillis))
-        .min(Comparator.comparing(isDueForMaintenance::test));
+        .filter(vm -> vmMover.mayMove(vm, pool, nowMillis));
   }
 
   /** Returns the first reason for which a worker's VM cannot be moved to a pool. */
@@ -76,24 +76,29 @@
     if (!worker.cordonReason.isEmpty()) {
       return "cordoned";
     } else if (!worker.isSafeToRemove()) {
-      return worker.tasks().stream().allMatch(task -> task.step.longRunning()) ? "lasting" : "busy";
+      boolean isLongRunning = worker.tasks().stream().allMatch(task -> task.step.longRunning());
+      return isSurplus.test(worker) ? "draining" : isLongRunning ? "lasting" : "busy";
+    } else if (!vmMover.mayMove(worker.entry.vm(), pool, nowMillis)) {
+      return "paused";
+    } else if (!isWorkerMovable(worker, pool, nowMillis)) {
+      return "not_movable";
     } else if (emptyWorkers.emptyMillis(worker, nowMillis) < IDLE_BEFORE_MOVE_MILLIS) {
       return "just_idle";
     } else if (backlog.forPool(currentPool).tasks() > 0) {
       return "own_backlog";
-    } else if (!vmMover.mayMove(worker.entry.vm(), pool, nowMillis)) {
-      return "paused";
-    } else if (!canSpareForOther(worker, backlog, nowMillis)) {
-      return "needed";
     }
-    return isWorkerMovable(worker, pool, nowMillis) ? "smallest_pool" : "not_movable";
+    return poolNeeds.hasMoreThanMinWorkers(currentPool) ? "needed" : "smallest_pool";
   }
 
   /** Returns whether a worker is reachable, uncordoned and empty, and its VM may be moved. */
   boolean isWorkerMovable(Worker worker, String pool, long nowMillis) {
+    return worker.isSafeToRemove() && isMovableOnceEmpty(worker, pool, nowMillis);
+  }
+
+  /** As {@link #isWorkerMovable}, for a worker that may have tasks. */
+  boolean isMovableOnceEmpty(Worker worker, String pool, long nowMillis) {
     return worker.listed
         && worker.hasReported
-        && worker.isSafeToRemove()
         && !worker.entry.draining()
         && worker.consecutiveCallFailures == 0
         && worker.cordonReason.isEmpty()
@@ -114,9 +119,10 @@
 
   /** Returns whether a worker's pool can spare its VM for a pool that is short of VMs. */
   private boolean canSpareForOther(Worker worker, Backlog backlog, long nowMillis) {
-    // Late and excess jobs have to leave surplus workers to the other pool.
+    String currentPool = worker.entry.pool();
     return isSurplus.test(worker)
-        ? poolNeeds.canSpareForJobsInTime(worker, backlog, nowMillis)
-        : poolNeeds.canSpareForAllJobs(worker, backlog, nowMillis);
+        || (emptyWorkers.emptyMillis(worker, nowMillis) >= IDLE_BEFORE_MOVE_MILLIS
+            && backlog.forPool(currentPool).tasks() == 0
+            && poolNeeds.canSpareForAllJobs(worker, backlog, nowMillis));
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -242,7 +242,7 @@
   private void addToBacklog(Candidate candidate, List<Task> tasks) {
     String pool = candidate.queue().pool();
     if (candidate.rank().justifiesMoreWorkers()) {
-      tasks.forEach(task -> backlog.add(pool, task));
+      tasks.forEach(task -> backlog.add(pool, task, candidate.queue().urgent()));
     } else if (workers.hasKindFor(tasks.get(0).step)) {
       double expectedMillis =
           durationModel.expectedMillis(candidate.queue().name(), tasks.get(0).step);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -1,13 +1,20 @@
 package org.sassafraslink.scheduler;
 
-import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.FleetSettings.PoolConfig;
 import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.api.fleet.VmClient.VmState;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.capacity.DrainChoice;
+import org.sassafraslink.scheduler.capacity.PoolShares;
 
 /**
  * Moves empty VMs to pools that are short of them, and powers off VMs that no pool needs by moving
@@ -43,10 +50,10 @@
   private final IdleVmPowerOff idleVmPowerOff;
   private final PoolShortageLog shortageLog;
 
-  private ImmutableSet<Worker> surplusWorkers = ImmutableSet.of();
+  private final SurplusWorkers surplusWorkers;
 
-  /** The pools for whose jobs in time the last adjustment found no VM that could be moved. */
-  private ImmutableSet<String> shortPools = ImmutableSet.of();
+  /** How many VMs for jobs in time the last adjustment did not find, by pool. */
+  private ImmutableMap<String, Long> missingByPool = ImmutableMap.of();
 
   private long nextAdjustmentMillis;
 
@@ -56,6 +63,7 @@
       WorkerRegistry workers,
       PublishedConfig config,
       PoolDemand poolDemand,
+      DurationModel durationModel,
       VmInventory vmInventory,
       VmMover vmMover,
       Predicate<String> isDueForMaintenance) {
@@ -65,6 +73,7 @@
     this.vmInventory = vmInventory;
     this.vmMover = vmMover;
     this.poolNeeds = new PoolNeeds(poolDemand);
+    this.surplusWorkers = new SurplusWorkers(durationModel);
     this.movableVms =
         new MovableVms(
             config,
@@ -73,18 +82,18 @@
             vmInventory,
             vmMover,
             isDueForMaintenance,
-            this::isSurplus);
+            surplusWorkers::contains);
     this.idleVmPowerOff =
         new IdleVmPowerOff(config, emptyWorkers, poolNeeds, movableVms, isDueForMaintenance);
-    this.shortageLog = new PoolShortageLog(log, movableVms);
+    this.shortageLog = new PoolShortageLog(log, movableVms, poolNeeds);
   }
 
   /** Discards all state, because this process has just acquired the scheduling lease. */
   void reset() {
     vmMover.reset();
     emptyWorkers.reset();
-    surplusWorkers = ImmutableSet.of();
-    shortPools = ImmutableSet.of();
+    surplusWorkers.clear();
+    missingByPool = ImmutableMap.of();
   }
 
   /** Moves VMs to pools that are short of them, and powers off idle VMs that no pool needs. */
@@ -98,104 +107,158 @@
     emptyWorkers.update(allWorkers, nowMillis);
     vmMover.removeFinishedMoves(nowMillis);
     poolNeeds.update(allWorkers);
-    updateSurplusWorkers(settings.get(), backlog, nowMillis);
     vmInventory.refreshIfDue(nowMillis);
     if (!vmInventory.isFresh(nowMillis)) {
       // No VM can be moved now, so late and excess jobs need not leave workers free.
-      shortPools = ImmutableSet.of();
+      missingByPool = ImmutableMap.of();
+      surplusWorkers.clear();
       return;
     }
-    addVms(settings.get(), backlog, nowMillis);
+    List<String> pools = activePools(settings.get());
+    poolNeeds.updateShares(pools, countVmsInService(), backlog, nowMillis);
+    updateSurplusWorkers(pools, backlog, nowMillis);
+    addVms(pools, backlog, nowMillis);
     config.standbyPool().ifPresent(standbyPool -> powerOffIdleVms(standbyPool, backlog, nowMillis));
   }
 
   /** Returns whether a pool waits for VMs, because moves to it are in progress or found no VM. */
   boolean isAnyPoolGrowing() {
-    return !shortPools.isEmpty()
+    return !missingByPool.isEmpty()
         || config
             .settings()
             .map(
                 settings ->
-                    settings.pools().values().stream()
-                        .anyMatch(pool -> !pool.standby() && vmMover.countMovesTo(pool.name()) > 0))
+                    activePools(settings).stream().anyMatch(pool -> vmMover.countMovesTo(pool) > 0))
             .orElse(false);
   }
 
+  /** Returns the pools whose VMs are powered on. */
+  private static List<String> activePools(FleetSettings settings) {
+    return settings.pools().values().stream()
+        .filter(pool -> !pool.standby())
+        .map(PoolConfig::name)
+        .toList();
+  }
+
+  private long countVmsInService() {
+    return vmInventory.vms().stream().filter(vm -> vm.state() != VmState.IN_MAINTENANCE).count();
+  }
+
   /** Returns whether a worker gets no tasks of late and excess jobs; see {@link SurplusWorkers}. */
   boolean isSurplus(Worker worker) {
     return surplusWorkers.contains(worker);
   }
 
+  /** Returns what a pool needs for long-running jobs and jobs that can be in time. */
+  Resources neededInTime(String pool, Backlog backlog, long nowMillis) {
+    return poolNeeds.neededInTime(pool, backlog, nowMillis);
+  }
+
   /**
-   * Updates the surplus workers. A pool has some only while another pool is short of VMs for jobs
-   * in time, since late and excess jobs have to wait for no other reason.
+   * Updates the surplus workers. A pool has some only while others are short of VMs for jobs in
+   * time, and no more than those lack, since late and excess jobs have to wait for no other reason.
    */
-  private void updateSurplusWorkers(FleetSettings settings, Backlog backlog, long nowMillis) {
-    ImmutableSet.Builder<Worker> newSurplus = ImmutableSet.builder();
-    for (PoolConfig pool : settings.pools().values()) {
-      boolean isUsableElsewhere =
-          shortPools.stream().anyMatch(shortPool -> !shortPool.equals(pool.name()));
-      if (!pool.standby() && isUsableElsewhere) {
-        List<Worker> poolWorkers =
-            workers.listedInPool(pool.name()).stream()
-                .filter(worker -> worker.cordonReason.isEmpty())
+  private void updateSurplusWorkers(List<String> pools, Backlog backlog, long nowMillis) {
+    Set<Worker> newSurplus = new HashSet<>();
+    for (String pool : pools) {
+      List<String> otherShortPools =
+          missingByPool.keySet().stream().filter(shortPool -> !shortPool.equals(pool)).toList();
+      long missing =
+          otherShortPools.stream().mapToLong(missingByPool::get).sum() - newSurplus.size();
+      if (missing > 0) {
+        List<Worker> movable =
+            workers.listedInPool(pool).stream()
+                .filter(worker -> mayDrain(worker, otherShortPools, nowMillis))
                 .toList();
-        Resources needed = neededInTime(pool.name(), backlog, nowMillis);
-        SurplusWorkers.of(poolWorkers, needed, PoolNeeds.MIN_WORKERS).stream()
-            .filter(worker -> emptyWorkers.emptyMillis(worker, nowMillis) < MAX_SURPLUS_IDLE_MILLIS)
-            .forEach(newSurplus::add);
+        DrainChoice.Donor donor = poolNeeds.donorOf(pool, backlog, nowMillis);
+        newSurplus.addAll(surplusWorkers.choose(donor, movable, (int) missing, nowMillis));
       }
     }
-    surplusWorkers = newSurplus.build();
+    surplusWorkers.replace(newSurplus);
   }
 
-  /** Returns what a pool needs for long-running jobs and jobs that can be in time. */
-  Resources neededInTime(String pool, Backlog backlog, long nowMillis) {
-    return poolNeeds.neededInTime(pool, backlog, nowMillis);
+  private boolean mayDrain(Worker worker, List<String> targetPools, long nowMillis) {
+    return emptyWorkers.emptyMillis(worker, nowMillis) < MAX_SURPLUS_IDLE_MILLIS
+        && targetPools.stream()
+            .anyMatch(pool -> movableVms.isMovableOnceEmpty(worker, pool, nowMillis));
   }
 
   /**
    * Starts moves to the pools that are short of VMs: first for jobs in time, then, if no pool is
    * short of VMs for those, for late and excess jobs.
    */
-  private void addVms(FleetSettings settings, Backlog backlog, long nowMillis) {
-    ImmutableSet.Builder<String> newShortPools = ImmutableSet.builder();
-    for (PoolConfig pool : settings.pools().values()) {
-      if (!pool.standby() && !addVmsForJobsInTime(pool.name(), backlog, nowMillis)) {
-        newShortPools.add(pool.name());
+  private void addVms(List<String> pools, Backlog backlog, long nowMillis) {
+    addVmsForJobsInTime(pools, backlog, nowMillis);
+    if (missingByPool.isEmpty()) {
+      pools.forEach(pool -> addVmsForLateJobs(pool, backlog, nowMillis));
+    }
+  }
+
+  /** Starts moves for jobs in time, and updates the numbers of VMs that could not be found. */
+  private void addVmsForJobsInTime(List<String> pools, Backlog backlog, long nowMillis) {
+    Map<String, PoolShares.Shortage> shortages = new LinkedHashMap<>();
+    for (String pool : pools) {
+      PoolShares.Shortage shortage = shortageOf(pool, backlog, nowMillis);
+      if (shortage.missing() > 0) {
+        shortages.put(pool, shortage);
       }
     }
-    shortPools = newShortPools.build();
-    if (shortPools.isEmpty()) {
-      for (PoolConfig pool : settings.pools().values()) {
-        if (!pool.standby()) {
-          addVmsForLateJobs(pool.name(), backlog, nowMillis);
-        }
+    Map<String, Long> notFound = new LinkedHashMap<>();
+    while (!shortages.isEmpty() && vmMover.canStartMove(nowMillis)) {
+      PoolShares.Shortage shortage = poolNeeds.shares().next(shortages.values()).orElseThrow();
+      String pool = shortage.pool();
+      Optional<String> vm = movableVms.findVmFor(pool, backlog, nowMillis);
+      if (vm.isEmpty()) {
+        shortageLog.logShortage(shortage, workers.all(), backlog, nowMillis);
+        notFound.put(pool, shortage.missing());
+        shortages.remove(pool);
+      } else {
+        startMove(vm.get(), pool, reasonForMove(pool, backlog, nowMillis), nowMillis);
+        shortages.replace(pool, shortage.afterMove());
+        shortages.values().removeIf(remaining -> remaining.missing() == 0);
       }
     }
+    // The rate of moves is used up.
+    shortages.forEach(
+        (pool, shortage) -> {
+          long missing = shortage.missing() - movableVms.countStandbyVmsFor(pool, nowMillis);
+          if (missing > 0) {
+            notFound.put(pool, missing);
+          }
+        });
+    missingByPool = ImmutableMap.copyOf(notFound);
   }
 
-  /** Starts moves for jobs in time; returns false if some of the VMs could not be found. */
-  private boolean addVmsForJobsInTime(String pool, Backlog backlog, long nowMillis) {
+  /** Returns how many VMs a pool lacks for jobs in time, besides those on their way. */
+  private PoolShares.Shortage shortageOf(String pool, Backlog backlog, long nowMillis) {
     Backlog.PoolBacklog poolBacklog = backlog.forPool(pool);
+    PoolUsage usage = poolNeeds.usageOf(pool);
     Resources neededForArrivals = poolNeeds.neededForArrivals(pool, nowMillis);
-    if (poolBacklog.tasks() == 0 && neededForArrivals.equals(Resources.NONE)) {
-      return true;
-    }
+    boolean needsNone = poolBacklog.tasks() == 0 && neededForArrivals.equals(Resources.NONE);
+    int forLongRunning = backlog.workersForLongRunning(pool);
     int missing =
-        PoolDemand.missingVms(
-            poolBacklog,
-            neededForArrivals,
-            backlog.workersForLongRunning(pool),
-            poolNeeds.usageOf(pool),
-            poolNeeds.vmCapacityOf(pool));
-    String reason =
-        "backlog of "
-            + poolBacklog.tasks()
-            + " tasks, "
-            + neededForArrivals
-            + " needed at the current arrival rate";
-    return moveVmsTo(pool, missing, reason, backlog, nowMillis);
+        needsNone
+            ? 0
+            : PoolDemand.missingVms(
+                poolBacklog,
+                neededForArrivals,
+                forLongRunning,
+                usage,
+                poolNeeds.vmCapacityOf(pool));
+    long onTheirWay = vmMover.countMovesTo(pool);
+    return new PoolShares.Shortage(
+        pool,
+        usage.uncordonedWorkers() + onTheirWay,
+        Math.max(0, missing - onTheirWay),
+        Math.max(0, forLongRunning - onTheirWay));
+  }
+
+  private String reasonForMove(String pool, Backlog backlog, long nowMillis) {
+    return "backlog of "
+        + backlog.forPool(pool).tasks()
+        + " tasks, "
+        + poolNeeds.neededForArrivals(pool, nowMillis)
+        + " needed at the current arrival rate";
   }
 
   private void addVmsForLateJobs(String pool, Backlog backlog, long nowMillis) {
@@ -207,24 +270,18 @@
     int missing =
         PoolDemand.missingForSteadyNeed(
             needed, poolNeeds.usageOf(pool).uncordonedCapacity(), poolNeeds.vmCapacityOf(pool));
-    moveVmsTo(pool, missing, "late backlog of " + lateTasks + " tasks", backlog, nowMillis);
-  }
-
-  /**
-   * Starts moves of VMs to a pool until {@code missing} are in progress or the platform's rate is
-   * used up. Returns false if too few VMs can be moved.
-   */
-  private boolean moveVmsTo(
-      String pool, int missing, String reason, Backlog backlog, long nowMillis) {
+    String reason = "late backlog of " + lateTasks + " tasks";
     for (long i = vmMover.countMovesTo(pool); i < missing && vmMover.canStartMove(nowMillis); i++) {
       Optional<String> vm = movableVms.findVmFor(pool, backlog, nowMillis);
       if (vm.isEmpty()) {
-        shortageLog.logShortage(pool, missing - i, workers.all(), backlog, nowMillis);
-        return false;
+        PoolShares.Shortage shortage =
+            new PoolShares.Shortage(
+                pool, poolNeeds.usageOf(pool).uncordonedWorkers(), missing - i, 0);
+        shortageLog.logShortage(shortage, workers.all(), backlog, nowMillis);
+        return;
       }
       startMove(vm.get(), pool, reason, nowMillis);
     }
-    return true;
   }
 
   private void startMove(String vm, String pool, String reason, long nowMillis) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolDemand.java
@@ -74,6 +74,11 @@
 
   private static int missingVms(
       Resources need, double usableFraction, Resources capacity, Resources vmCapacity) {
+    return (int) Math.ceil(vmsBeyond(capacity, usableFraction, need, vmCapacity));
+  }
+
+  private static double vmsBeyond(
+      Resources capacity, double usableFraction, Resources need, Resources vmCapacity) {
     double cpu =
         ratio(need.cpuMillis() - usableFraction * capacity.cpuMillis(), vmCapacity.cpuMillis());
     double memory =
@@ -82,7 +87,7 @@
         ratio(
             need.accelerators() - usableFraction * capacity.accelerators(),
             vmCapacity.accelerators());
-    return (int) Math.ceil(Math.max(cpu, Math.max(memory, accelerators)));
+    return Math.max(cpu, Math.max(memory, accelerators));
   }
 
   /**
@@ -98,13 +103,33 @@
     return estimate.averageUse().times(headroomFactor).plus(usage.longRunning());
   }
 
+  /**
+   * As {@link #neededForArrivals}, for a pool that can give up VMs: while its demand falls, it
+   * keeps none for a new rise.
+   */
+  Resources neededForArrivalsIfFalling(String pool, PoolUsage usage, long nowMillis) {
+    DemandRate.Estimate estimate = demandRate.estimate(pool, nowMillis);
+    return estimate.isFalling()
+        ? estimate.averageUseIfFalling().times(BURST_HEADROOM_FACTOR).plus(usage.longRunning())
+        : neededForArrivals(pool, usage, nowMillis);
+  }
+
   /**
    * Returns what a pool needs for long-running jobs and jobs that can be in time: the larger of the
    * need at the current arrival rate and the need of the running and waiting tasks of such jobs.
    */
   Resources neededInTime(String pool, PoolUsage usage, Backlog backlog, long nowMillis) {
-    Resources currentNeed = usage.inTime().plus(backlog.forPool(pool).resources());
-    return neededForArrivals(pool, usage, nowMillis).max(currentNeed);
+    return neededForArrivals(pool, usage, nowMillis).max(neededNow(pool, usage, backlog));
+  }
+
+  /** Returns what the running and waiting tasks of long-running jobs and jobs in time need. */
+  static Resources neededNow(String pool, PoolUsage usage, Backlog backlog) {
+    return usage.inTime().plus(backlog.forPool(pool).resources());
+  }
+
+  /** Returns how many VMs of capacity {@code vmCapacity} provide {@code needed}, with fractions. */
+  static double vmsFor(Resources needed, Resources vmCapacity) {
+    return vmsBeyond(Resources.NONE, /* usableFraction= */ 1, needed, vmCapacity);
   }
 
   /**
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolNeeds.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolNeeds.java
@@ -1,20 +1,31 @@
 package org.sassafraslink.scheduler;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.scheduler.capacity.DrainChoice;
+import org.sassafraslink.scheduler.capacity.PoolShares;
 
 /**
  * What each pool has and needs during one adjustment of the pools, kept up to date with the moves
  * that the adjustment starts.
  */
 final class PoolNeeds {
+  /**
+   * A pool gives up VMs that it needs for jobs in time only down to this multiple of its share,
+   * since neither pool has a VM while it is moved.
+   */
+  private static final double KEPT_SHARE_FACTOR = 1.25;
+
   /** Number of workers that a pool always keeps. */
   static final int MIN_WORKERS = 2;
 
   private final PoolDemand poolDemand;
   private final Map<String, PoolUsage> usageByPool = new HashMap<>();
+  private PoolShares shares = PoolShares.of(List.of(), /* totalVms= */ 0);
 
   /** The capacity of a VM for a pool without workers. */
   private Resources defaultVmCapacity = Resources.NONE;
@@ -30,6 +41,39 @@
     defaultVmCapacity = allWorkers.isEmpty() ? Resources.NONE : allWorkers.get(0).entry.capacity();
   }
 
+  /** Divides {@code totalVms} VMs among the pools by what they need. */
+  void updateShares(Collection<String> pools, long totalVms, Backlog backlog, long nowMillis) {
+    List<PoolShares.Need> needs = new ArrayList<>();
+    for (String pool : pools) {
+      needs.add(
+          new PoolShares.Need(
+              pool, neededVms(pool, backlog, nowMillis), backlog.urgentFraction(pool)));
+    }
+    shares = PoolShares.of(needs, (double) totalVms);
+  }
+
+  PoolShares shares() {
+    return shares;
+  }
+
+  /** Returns what a pool has and has to keep when another one is short of VMs. */
+  DrainChoice.Donor donorOf(String pool, Backlog backlog, long nowMillis) {
+    PoolUsage usage = usageOf(pool);
+    double neededVms = neededVms(pool, backlog, nowMillis);
+    double keptFraction =
+        neededVms == 0 ? 1 : Math.min(1, KEPT_SHARE_FACTOR * shares.vmsOf(pool) / neededVms);
+    return new DrainChoice.Donor(
+        usage.uncordonedCapacity(),
+        usage.uncordonedWorkers(),
+        poolDemand.neededForArrivalsIfFalling(pool, usage, nowMillis).times(keptFraction),
+        PoolDemand.neededNow(pool, usage, backlog).times(keptFraction),
+        MIN_WORKERS);
+  }
+
+  private double neededVms(String pool, Backlog backlog, long nowMillis) {
+    return PoolDemand.vmsFor(neededInTime(pool, backlog, nowMillis), vmCapacityOf(pool));
+  }
+
   PoolUsage usageOf(String pool) {
     return usageByPool.getOrDefault(pool, PoolUsage.EMPTY);
   }
@@ -77,11 +121,4 @@
     Resources needed = poolDemand.neededForAllJobs(pool, usageOf(pool), backlog, nowMillis);
     return PoolDemand.canSpareVm(usageOf(pool), worker.entry.capacity(), needed);
   }
-
-  /** Returns whether a pool does not need a worker's VM for jobs in time. */
-  boolean canSpareForJobsInTime(Worker worker, Backlog backlog, long nowMillis) {
-    String pool = worker.entry.pool();
-    Resources needed = neededInTime(pool, backlog, nowMillis);
-    return PoolDemand.canSpareVm(usageOf(pool), worker.entry.capacity(), needed);
-  }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolShortageLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolShortageLog.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.capacity.PoolShares;
 
 /** Logs, at most once a second per pool, how many workers cannot be moved to it, by reason. */
 final class PoolShortageLog {
@@ -13,16 +14,19 @@
 
   private final EventLog log;
   private final MovableVms movableVms;
+  private final PoolNeeds poolNeeds;
   private final Map<String, Long> nextLogMillisByPool = new HashMap<>();
 
-  PoolShortageLog(EventLog log, MovableVms movableVms) {
+  PoolShortageLog(EventLog log, MovableVms movableVms, PoolNeeds poolNeeds) {
     this.log = log;
     this.movableVms = movableVms;
+    this.poolNeeds = poolNeeds;
   }
 
-  /** Logs that a pool lacks {@code missing} VMs, unless that was logged a short time ago. */
+  /** Logs that a pool lacks VMs, unless that was logged a short time ago. */
   void logShortage(
-      String pool, long missing, Collection<Worker> workers, Backlog backlog, long nowMillis) {
+      PoolShares.Shortage shortage, Collection<Worker> workers, Backlog backlog, long nowMillis) {
+    String pool = shortage.pool();
     if (nowMillis < nextLogMillisByPool.getOrDefault(pool, 0L)) {
       return;
     }
@@ -35,6 +39,15 @@
                     worker -> movableVms.reasonNotMoved(worker, pool, backlog, nowMillis),
                     TreeMap::new,
                     Collectors.counting()));
-    log.log("pool.short", "pool", pool, "missing", missing, "others", workersByReason);
+    log.log(
+        "pool.short",
+        "pool",
+        pool,
+        "missing",
+        shortage.missing(),
+        "share",
+        Math.round(poolNeeds.shares().vmsOf(pool)),
+        "others",
+        workersByReason);
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolStateLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolStateLog.java
@@ -102,11 +102,13 @@
     List<Worker> poolWorkers = listedInPool.apply(pool);
     long uncordoned = 0;
     long empty = 0;
+    long surplus = 0;
     Resources capacity = Resources.NONE;
     Resources free = Resources.NONE;
     for (Worker worker : poolWorkers) {
       uncordoned += worker.cordonReason.isEmpty() ? 1 : 0;
       empty += worker.isEmpty() ? 1 : 0;
+      surplus += worker.isSurplus ? 1 : 0;
       capacity = capacity.plus(worker.entry.capacity());
       free = free.plus(worker.freeResources());
     }
@@ -135,7 +137,9 @@
         "waitingAtLimit",
         waiting.tasksAtTeamLimit,
         "jobsNotBegun",
-        waiting.jobsNotBegun);
+        waiting.jobsNotBegun,
+        "surplus",
+        surplus);
   }
 
   private static double cores(Resources resources) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -159,6 +159,7 @@
             workers,
             config,
             poolDemand,
+            durationModel,
             vmInventory,
             vmMover,
             maintenance::isDueForMaintenance);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SurplusWorkers.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SurplusWorkers.java
@@ -3,54 +3,84 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.scheduler.capacity.DrainChoice;
 
 /**
- * Decides which workers of a pool get no tasks of late jobs and excess jobs, so that they become
- * empty and their VMs can be moved to another pool.
- *
- * <p>Such jobs would otherwise fill all free capacity and keep VMs busy that another pool needs for
- * jobs in time. The other workers of the pool still run them as capacity becomes free.
+ * The workers that are drained because another pool is short of VMs: they get no tasks of late and
+ * excess jobs, and others only if no other worker has room. {@link DrainChoice} chooses them.
  */
 final class SurplusWorkers {
-  private SurplusWorkers() {}
+  /** Least remaining fraction of the duration of a task that runs longer than predicted. */
+  private static final double MIN_REMAINING_FRACTION = 0.2;
+
+  private final DurationModel durationModel;
+  private Set<Worker> surplus = new HashSet<>();
+
+  SurplusWorkers(DurationModel durationModel) {
+    this.durationModel = durationModel;
+  }
+
+  void clear() {
+    replace(new HashSet<>());
+  }
+
+  boolean contains(Worker worker) {
+    return surplus.contains(worker);
+  }
+
+  /** Replaces the surplus workers. */
+  void replace(Set<Worker> newSurplus) {
+    surplus.forEach(worker -> worker.isSurplus = false);
+    newSurplus.forEach(worker -> worker.isSurplus = true);
+    surplus = newSurplus;
+  }
 
   /**
-   * Returns the workers that a pool does not need, choosing those with the fewest tasks first. A
-   * worker with a task that is long-running or can be in time is never among them.
+   * Returns the workers of a pool to drain.
    *
-   * @param pool the workers of the pool that may get tasks
-   * @param needed the resources that long-running jobs and jobs that can be in time need
-   * @param minWorkers the number of workers that the pool keeps in any case
+   * @param movable the workers of the pool whose VMs may be moved
    */
-  static ImmutableSet<Worker> of(Collection<Worker> pool, Resources needed, int minWorkers) {
-    Resources remainingCapacity = Resources.NONE;
-    List<Worker> candidates = new ArrayList<>();
-    for (Worker worker : pool) {
-      remainingCapacity = remainingCapacity.plus(worker.entry.capacity());
-      if (worker.tasks().stream().noneMatch(SurplusWorkers::justifiesVm)) {
-        candidates.add(worker);
+  List<Worker> choose(
+      DrainChoice.Donor donor, Collection<Worker> movable, int maxWorkers, long nowMillis) {
+    List<DrainChoice.Candidate> candidates = new ArrayList<>();
+    for (Worker worker : movable) {
+      if (worker.tasks().stream().noneMatch(task -> task.step.longRunning())) {
+        candidates.add(candidateOf(worker, nowMillis));
       }
     }
-    candidates.sort(
-        Comparator.<Worker>comparingInt(worker -> worker.tasks().size())
-            .thenComparing(worker -> worker.entry.id()));
-    ImmutableSet.Builder<Worker> surplus = ImmutableSet.builder();
-    int remainingWorkers = pool.size();
-    for (Worker worker : candidates) {
-      remainingCapacity = remainingCapacity.minus(worker.entry.capacity());
-      remainingWorkers--;
-      if (!remainingCapacity.covers(needed) || remainingWorkers < minWorkers) {
-        break;
+    ImmutableSet<String> chosen = DrainChoice.choose(donor, candidates, maxWorkers);
+    return movable.stream().filter(worker -> chosen.contains(worker.entry.id())).toList();
+  }
+
+  private DrainChoice.Candidate candidateOf(Worker worker, long nowMillis) {
+    double emptyInMillis = 0;
+    Resources lastSteps = Resources.NONE;
+    for (Task task : worker.tasks()) {
+      emptyInMillis = Math.max(emptyInMillis, remainingMillis(task, nowMillis));
+      if (justifiesVm(task) && isOfLastStep(task)) {
+        lastSteps = lastSteps.plus(task.step.reservedResources());
       }
-      surplus.add(worker);
     }
-    return surplus.build();
+    return new DrainChoice.Candidate(
+        worker.entry.id(), worker.entry.capacity(), emptyInMillis, lastSteps);
+  }
+
+  private double remainingMillis(Task task, long nowMillis) {
+    double expectedMillis = durationModel.expectedMillis(task.job.spec.queue(), task.step);
+    double elapsedMillis = task.confirmedMillis > 0 ? (double) nowMillis - task.confirmedMillis : 0;
+    return Math.max(expectedMillis - elapsedMillis, MIN_REMAINING_FRACTION * expectedMillis);
+  }
+
+  private static boolean isOfLastStep(Task task) {
+    int stepNumber = task.id.step();
+    return task.job.spec.steps().stream().noneMatch(step -> step.after().contains(stepNumber));
   }
 
-  /** Returns whether a task is long-running or can be in time, so that it keeps its worker. */
+  /** Returns whether a task is long-running or can be in time, so that its pool may need a VM. */
   static boolean justifiesVm(Task task) {
     return task.step.longRunning() || task.job.justifiesMoreWorkers;
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -60,6 +60,9 @@
   /** When it was cordoned, monotonic ms. */
   long cordonedMillis;
 
+  /** Whether it is drained for another pool; see {@link SurplusWorkers}. */
+  boolean isSurplus;
+
   /** Sequence number up to which the reported ends of attempts are committed. */
   long lastCommittedEnd;
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
@@ -8,10 +8,10 @@
  * Decides on which worker a task starts.
  *
  * <p>The choice avoids, most important first: a worker on which the task has failed, a worker
- * outside the rack of the task's data, and serving and backfill tasks on one worker. Among workers
- * equal in this, the one with the least free capacity is chosen, so that others become empty for
- * maintenance, moves and power-off. The tasks of a step are spread only as far as {@code
- * StepSpec.maxPerWorker} requires.
+ * outside the rack of the task's data, serving and backfill tasks on one worker, and a worker that
+ * is drained for another pool. Among workers equal in this, the one with the least free capacity is
+ * chosen, so that others become empty for maintenance, moves and power-off. The tasks of a step are
+ * spread only as far as {@code StepSpec.maxPerWorker} requires.
  */
 final class WorkerChoice {
   // Penalties, each of which outweighs the sum of all below it.
@@ -19,6 +19,7 @@
 
   private static final double OTHER_RACK_PENALTY = 100;
   private static final double INTERFERENCE_PENALTY = 30;
+  private static final double SURPLUS_PENALTY = 10;
   private static final double FREE_CAPACITY_WEIGHT = 1;
 
   private WorkerChoice() {}
@@ -75,6 +76,9 @@
     } else if (task.step.serving()) {
       cost += worker.hasBackfillTask() ? INTERFERENCE_PENALTY : 0;
     }
+    if (worker.isSurplus) {
+      cost += SURPLUS_PENALTY;
+    }
     return cost + FREE_CAPACITY_WEIGHT * freeFraction(worker);
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolStateLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolStateLogTest.java
@@ -129,6 +129,16 @@
             + "\"movesTo\":3,\"capacityCores\":48.0,\"reservedCores\":1.5,\"neededCores\":2.5");
   }
 
+  // Without the count, late tasks seem to wait beside free workers for no reason.
+  @Test
+  void workersDrainedForAnotherPoolLookFree() {
+    Worker drained = TestWorkers.withId("w0");
+    drained.isSurplus = true;
+    workers.addAll(List.of(drained, TestWorkers.withId("w1")));
+    write();
+    assertWritten("\"surplus\":1");
+  }
+
   // Each line costs processor time, of which the scheduler may have little.
   @Test
   void linesAreWrittenInEachPass() {
