--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolStateLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolStateLog.java
@@ -103,12 +103,14 @@
     long uncordoned = 0;
     long evacuated = 0;
     long empty = 0;
+    long surplus = 0;
     Resources capacity = Resources.NONE;
     Resources free = Resources.NONE;
     for (Worker worker : poolWorkers) {
       uncordoned += worker.isOpenForTasks() ? 1 : 0;
       evacuated += worker.zoneEvacuated ? 1 : 0;
       empty += worker.isEmpty() ? 1 : 0;
+      surplus += worker.isSurplus ? 1 : 0;
       capacity = capacity.plus(worker.entry.capacity());
       free = free.plus(worker.freeResources());
     }
@@ -139,7 +141,9 @@
         "jobsNotBegun",
         waiting.jobsNotBegun,
         "evacuated",
-        evacuated);
+        evacuated,
+        "surplus",
+        surplus);
   }
 
   private static double cores(Resources resources) {
