A command may be sent after a record that took 2.5 s

The bound is 3 s now. VmCommandLogTest, VmCommandRowTest, WaveLimitTest, WaveCompletionTest and WaveTakeoverTest are green.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
@@ -50,8 +50,8 @@
   /** How long commands to a VM may be sent after its record at least, in ms. */
   private static final long MIN_SENDING_MILLIS = 400;
 
-  /** How long commands to a VM may be sent after its record at most, in ms. */
-  private static final long MAX_SENDING_MILLIS = SchedulerLease.LEASE_MILLIS;
+  /** How long commands to a VM may be sent after a slow record, in ms. */
+  private static final long MAX_SENDING_MILLIS = 3_000;
 
   /** Delay after a failed call to the store, in ms. */
   private static final long RETRY_DELAY_MILLIS = 150;
