A large job among small ones does not show a burst

The estimate from the last 0.3 s is trusted by how many jobs it rests on, and a large job with an estimate that is far off counted as one of many small ones.

Change: jobs count by their work, so the estimate is 0 if one job makes up nearly all of it.

Result: largeJobAmongSmallOnesIsNoBurst failed in 3 of 3 cases before (697, 2,923 and 8,489 cores for a large job of 200, 1,000 and 3,000 core-seconds) and passes; all 16 cases of DemandRateTest pass.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DemandRate.java
@@ -35,8 +35,10 @@
     private double cpuMillis;
     private double memoryMb;
     private double accelerators;
-    private double jobWeight;
-    private double squaredJobWeight;
+
+    /** The sum of the squares of what each job has added to {@link #cpuMillis}. */
+    private double squaredCpuMillis;
+
     private long decayedToMillis;
 
     DecayingWork(double decayMillis) {
@@ -49,14 +51,14 @@
         cpuMillis *= factor;
         memoryMb *= factor;
         accelerators *= factor;
-        jobWeight *= factor;
-        squaredJobWeight *= factor * factor;
+        squaredCpuMillis *= factor * factor;
         decayedToMillis = nowMillis;
       }
     }
 
     private void add(Job job, DurationModel durationModel, long ageMillis) {
       double weight = Math.exp(-Math.max(0, ageMillis) / decayMillis);
+      double earlierCpuMillis = cpuMillis;
       for (StepSpec step : job.spec.steps()) {
         if (!step.longRunning()) {
           double millis =
@@ -66,19 +68,21 @@
           accelerators += millis * step.reservedResources().accelerators();
         }
       }
-      jobWeight += weight;
-      squaredJobWeight += weight * weight;
+      double addedCpuMillis = cpuMillis - earlierCpuMillis;
+      squaredCpuMillis += addedCpuMillis * addedCpuMillis;
     }
 
     /**
-     * Returns the estimate, reduced by the share of one job in the number of jobs on which it
-     * rests. It is 0 for a single job, which does not show a burst.
+     * Returns the estimate, reduced by the share of one job in the effective number of jobs on
+     * which it rests. It is 0 for a single job, which does not show a burst. Jobs count by their
+     * work, so a large job among small ones does not show a burst either: its work does not arrive
+     * again.
      */
     private Resources cautiousAverage() {
-      if (jobWeight <= 0) {
+      if (squaredCpuMillis <= 0) {
         return Resources.NONE;
       }
-      double effectiveJobs = jobWeight * jobWeight / squaredJobWeight;
+      double effectiveJobs = cpuMillis * cpuMillis / squaredCpuMillis;
       return average(1 - 1 / effectiveJobs);
     }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DemandRateTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DemandRateTest.java
@@ -59,6 +59,23 @@
     assertFalse(demandRate.estimate("pool", 5_000).isRising());
   }
 
+  /**
+   * Guards against VMs that are moved for a large job whose estimate is far off, because small jobs
+   * have arrived beside it. The small jobs use 200 cores on average.
+   */
+  @ParameterizedTest
+  @CsvSource({"20, 10", "100, 10", "100, 30"})
+  void largeJobAmongSmallOnesIsNoBurst(int tasks, long seconds) {
+    addArrivals(0, NOW_MILLIS, /* intervalMillis= */ 100);
+    Job largeJob =
+        TestJobs.jobAcceptedAt(
+            0, TestJobs.step(tasks, 1_000, 1_000 * seconds, TestJobs.StepKind.PLAIN, 0));
+    demandRate.addArrival("pool", largeJob, 0, NOW_MILLIS);
+    long largeJobCores = tasks * seconds;
+    long cores = averageUse(NOW_MILLIS).cpuMillis() / 1_000;
+    assertTrue(cores <= 300 + largeJobCores, cores + " cores");
+  }
+
   /** Guards against VMs that are powered off in the middle of a burst, or kept long after it. */
   @ParameterizedTest
   @CsvSource({"0, false", "100, false", "500, true", "2000, true"})
