A transaction of submissions has a bound on its length

Cause: up to 30 submissions share a transaction, and the platform refuses one of more than 1 MB. Bodies may have 262,144 bytes, so a few large ones make the store reject all submissions in the transaction. Change: no row is added to a transaction from 150,000 characters on.

--- a/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
@@ -48,6 +48,12 @@
    */
   private static final int MAX_BATCH_JOBS = 30;
 
+  /**
+   * Length of the rows in a transaction from which on none is added. With one more row of the
+   * largest size, and encoded, they stay below the platform's bound of 1 MB on a transaction.
+   */
+  private static final int FULL_BATCH_LENGTH = 150_000;
+
   /**
    * Time from the receipt of a job until it is rejected if the store fails and the job cannot have
    * been stored, in ms.
@@ -235,6 +241,7 @@
           boolean joinsBatch =
               nowMillis >= submission.nextAttemptMillis
                   && batch.size() < MAX_BATCH_JOBS
+                  && rowLength(batch) < FULL_BATCH_LENGTH
                   && isSamePartition
                   && ids.add(submission.jobId);
           if (joinsBatch) {
@@ -245,6 +252,10 @@
     return batch;
   }
 
+  private static int rowLength(List<Submission> batch) {
+    return batch.stream().mapToInt(submission -> submission.row.length()).sum();
+  }
+
   private static Transaction insertTransaction(List<Submission> batch) {
     ImmutableList.Builder<Expectation> expectations = ImmutableList.builder();
     ImmutableList.Builder<Put> puts = ImmutableList.builder();
