One budget for the bytes that a process holds for callers

What callers saw: with a crowd of unfinished bodies or headers, whole bodies while the store is slow, requests ahead with answers unread, or silent connections, an entry process ended for lack of memory or answered nobody. Cause: each connection was bounded, their sum was not; unfinished requests and responses that nobody takes had no timeout; connections had no bound if none was idle, and none by the descriptors of the process. Change: ConnectionRegistry counts the bytes of all connections; CloseOrder and HeldBytesLimit decide what is refused when the budget is full. Reads are of 2 KB, bodies are collected in one buffer, and a connection is read again only when its response has left. Timeouts for unfinished requests and untaken responses. Six settings with flags and variables, three metrics, one log line a second. CallerServerTest passes the limits in the new form, its checks are as before.

--- a/api/src/main/java/org/sassafraslink/api/failure/FailureType.java
+++ b/api/src/main/java/org/sassafraslink/api/failure/FailureType.java
@@ -30,6 +30,8 @@
   REQUEST_TOO_LARGE(413, true),
   HEADERS_TOO_LARGE(431, true),
   QUEUE_FULL(503, true),
+  /** The process holds as many bytes for callers as it may. */
+  PROCESS_FULL(503, true),
   /** The request waited until its deadline and was not sent. */
   DEADLINE_BEFORE_START(504, true),
   /** No instance of the service could be reached. */
--- a/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
@@ -10,6 +10,7 @@
  * @param zone the availability zone of the VM
  * @param processors the share of the VM's processors that the process may use, in cores of usual
  *     speed
+ * @param maxDescriptors how many files and sockets the process may have open
  * @param callerAddress the address at which the process serves callers
  * @param readinessAddress the address at which the load balancer asks whether it may open new
  *     connections to this process
@@ -39,6 +40,7 @@
     String node,
     String zone,
     double processors,
+    int maxDescriptors,
     InetSocketAddress callerAddress,
     InetSocketAddress readinessAddress,
     InetSocketAddress peerAddress,
--- a/entry/src/main/java/org/sassafraslink/entry/Main.java
+++ b/entry/src/main/java/org/sassafraslink/entry/Main.java
@@ -1,9 +1,12 @@
 package org.sassafraslink.entry;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.UUID;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -11,6 +14,8 @@
 import joptsimple.OptionSpec;
 import org.sassafraslink.api.fleet.NodeSettings;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.entry.connection.CallerLimits;
+import org.sassafraslink.entry.process.CallerLimitSettings;
 import org.sassafraslink.entry.process.CdsTrainingRun;
 import org.sassafraslink.entry.process.EntryNode;
 import org.sassafraslink.entry.process.EventLogs;
@@ -26,18 +31,19 @@
   private Main() {}
 
   /**
-   * Starts the daemon if there are no arguments. Otherwise executes the given option and exits;
-   * {@code --help} lists the options. Exits with code 2 if the settings or the options are invalid,
-   * and with code 3 if an address is in use or a thread ends by a failure.
+   * Starts the daemon, or executes the given option and exits; {@code --help} lists the options.
+   * Exits with code 2 if the settings or the options are invalid, and with code 3 if an address is
+   * in use or a thread ends by a failure.
    */
   public static void main(String[] args)
       throws ReflectiveOperationException, InterruptedException, IOException {
-    if (args.length > 0) {
-      runOption(args);
+    Map<CallerLimitSettings, String> limits = limitsFromEnvironment();
+    if (args.length > 0 && executeOption(args, limits)) {
       return;
     }
     Path file = settingsFile();
     NodeSettings settings = readSettings(file);
+    CallerLimits callerLimits = callerLimits(limits, settings);
     EventLog log = EventLogs.create(settings.node());
     FatalFailures failures =
         FatalFailures.create(log, EventLogs::flush, Runtime.getRuntime()::halt);
@@ -45,7 +51,7 @@
     HangUpSignalHandler.install(() -> logSettingsValidity(file, log));
     EntryNode node;
     try {
-      node = EntryNode.start(settings, log, UUID.randomUUID().toString());
+      node = EntryNode.start(settings, callerLimits, log, UUID.randomUUID().toString());
     } catch (ListenFailedException e) {
       failures.end(e.getMessage(), e.getCause());
       return;
@@ -53,11 +59,26 @@
     Runtime.getRuntime().addShutdownHook(new Thread(node::stop, "stop"));
   }
 
+  private static Map<CallerLimitSettings, String> limitsFromEnvironment() {
+    Map<CallerLimitSettings, String> limits = new EnumMap<>(CallerLimitSettings.class);
+    for (CallerLimitSettings setting : CallerLimitSettings.values()) {
+      String value = System.getenv(setting.environmentVariable());
+      if (value != null) {
+        limits.put(setting, value);
+      }
+    }
+    return limits;
+  }
+
   /**
-   * Executes the option in {@code args}. The option parser is used only here and not at a start
-   * without arguments, because loading its classes would delay that start.
+   * Executes the option in {@code args}, if there is one, and otherwise adds the limits in {@code
+   * args} to {@code limits}. The option parser is used only here and not at a start without
+   * arguments, because loading its classes would delay that start.
+   *
+   * @return whether there was an option
    */
-  private static void runOption(String[] args) throws InterruptedException, IOException {
+  private static boolean executeOption(String[] args, Map<CallerLimitSettings, String> limits)
+      throws InterruptedException, IOException {
     OptionParser parser = new OptionParser();
     OptionSpec<Void> checkSettings =
         parser.accepts("check-settings", "check the settings file and exit");
@@ -65,28 +86,54 @@
         parser.accepts(
             "load-classes",
             "run the daemon briefly to record classes for the class data sharing archive, then exit");
-    parser.accepts("help", "print this help").forHelp();
+    OptionSpec<Void> help = parser.accepts("help", "print this help").forHelp();
+    for (CallerLimitSettings setting : CallerLimitSettings.values()) {
+      parser.accepts(setting.flag(), setting.description()).withRequiredArg();
+    }
     OptionSet options;
     try {
       options = parser.parse(args);
     } catch (OptionException e) {
       System.err.println(e.getMessage());
       System.exit(EXIT_INVALID_SETTINGS);
-      return;
+      return true;
+    }
+    for (CallerLimitSettings setting : CallerLimitSettings.values()) {
+      if (options.has(setting.flag())) {
+        limits.put(setting, String.valueOf(options.valueOf(setting.flag())));
+      }
     }
     if (options.has(checkSettings)) {
       NodeSettings settings = readSettings(settingsFile());
+      callerLimits(limits, settings);
       System.out.println("The settings of " + settings.node() + " are valid.");
     } else if (options.has(loadClasses)) {
       CdsTrainingRun.run(EventLogs.create("class-loading"));
       System.exit(0);
-    } else {
+    } else if (options.has(help)) {
       System.out.println(
           "sassafraslink-entry; the environment variable "
               + NodeSettingsFile.PATH_VARIABLE
               + " names its settings file");
       parser.printHelpOn(System.out);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private static CallerLimits callerLimits(
+      Map<CallerLimitSettings, String> values, NodeSettings settings) {
+    Either<ImmutableList<String>, CallerLimits> limits =
+        CallerLimitSettings.parse(
+            ImmutableMap.copyOf(values),
+            Runtime.getRuntime().maxMemory(),
+            settings.maxDescriptors());
+    if (limits.isLeft()) {
+      limits.getLeft().forEach(System.err::println);
+      System.exit(EXIT_INVALID_SETTINGS);
     }
+    return limits.get();
   }
 
   private static Path settingsFile() {
--- a/entry/src/main/java/org/sassafraslink/entry/connection/CallerServer.java
+++ b/entry/src/main/java/org/sassafraslink/entry/connection/CallerServer.java
@@ -1,6 +1,8 @@
 package org.sassafraslink.entry.connection;
 
+import com.google.common.collect.ImmutableMap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -8,14 +10,12 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashSet;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.entry.request.CallerRequest;
 import org.sassafraslink.entry.request.CallerResponse;
 
@@ -34,28 +34,37 @@
   /** Largest total size of a request's headers, in bytes. */
   private static final int MAX_HEADER_BYTES = 16_384;
 
+  /** Most bytes of a connection that belong to a head that is not complete. */
+  static final int MAX_UNDECODED_BYTES = MAX_REQUEST_LINE_BYTES + MAX_HEADER_BYTES;
+
   /** Largest request body, in bytes. */
   private static final int MAX_BODY_BYTES = 262_144;
 
   /** Connections that the operating system may hold until they are accepted. */
   private static final int ACCEPT_BACKLOG = 512;
 
-  /** Open connections, the least recently used first. */
-  private final Set<CallerConnection> connections = new LinkedHashSet<>();
+  /** Smallest and first size of the buffer for one read from a connection, in bytes. */
+  private static final int MIN_READ_BYTES = 64;
+
+  /**
+   * Most bytes that are read from a connection at a time. They bound the pipelined requests that
+   * are decoded while another one is in progress.
+   */
+  private static final int MAX_READ_BYTES = 2_048;
 
   private final BiConsumer<CallerRequest, Consumer<CallerResponse>> requestHandler;
   private final FleetClock clock;
-  private final int maxConnections;
+  private final ConnectionRegistry registry;
   private boolean draining;
   private int requestsInFlight;
 
   private CallerServer(
       BiConsumer<CallerRequest, Consumer<CallerResponse>> requestHandler,
       FleetClock clock,
-      int maxConnections) {
+      ConnectionRegistry registry) {
     this.requestHandler = requestHandler;
     this.clock = clock;
-    this.maxConnections = maxConnections;
+    this.registry = registry;
   }
 
   /**
@@ -63,52 +72,61 @@
    *
    * @param requestHandler receives each complete request with a callback for its response, which it
    *     calls exactly once
-   * @param maxConnections number of open connections above which an idle one is closed
    */
   public static CallerServer create(
       BiConsumer<CallerRequest, Consumer<CallerResponse>> requestHandler,
       FleetClock clock,
-      int maxConnections) {
-    return new CallerServer(requestHandler, clock, maxConnections);
+      EventLog log,
+      CallerLimits limits) {
+    return new CallerServer(requestHandler, clock, new ConnectionRegistry(limits, clock, log));
   }
 
   /** Starts to listen on {@code address} and returns the listening channel. */
   public Channel listen(EventLoopGroup eventLoopGroup, InetSocketAddress address) {
+    int socketBufferBytes = registry.limits().socketBufferBytes();
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(eventLoopGroup)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            // Accepted connections inherit it. Set later, it would not bound the window.
+            .option(ChannelOption.SO_RCVBUF, socketBufferBytes)
+            .childOption(ChannelOption.SO_SNDBUF, socketBufferBytes)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, MAX_READ_BYTES, MAX_READ_BYTES))
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpServerCodec(
-                                new HttpDecoderConfig()
-                                    .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                                    .setMaxHeaderSize(MAX_HEADER_BYTES)))
-                        .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                        .addLast(new CallerConnection(CallerServer.this));
+                    addHandlers(channel);
                   }
                 });
     return bootstrap.bind(address).syncUninterruptibly().channel();
   }
 
+  private void addHandlers(SocketChannel channel) {
+    CallerConnection connection = new CallerConnection(this, registry, MAX_BODY_BYTES);
+    HttpDecoderConfig config =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+            .setMaxHeaderSize(MAX_HEADER_BYTES);
+    channel
+        .pipeline()
+        .addLast(
+            new CallerRequestDecoder(config, connection), new HttpResponseEncoder(), connection);
+  }
+
   /**
    * Closes idle connections, and makes every other connection close after its next response. New
    * connections are still accepted.
    */
   public void startDraining() {
     draining = true;
-    for (CallerConnection connection : Set.copyOf(connections)) {
-      connection.closeIfIdle();
-    }
+    registry.connections().forEach(CallerConnection::closeIfIdle);
   }
 
   /** Returns whether {@link #startDraining} has been called. */
@@ -121,32 +139,25 @@
     return requestsInFlight;
   }
 
-  FleetClock clock() {
-    return clock;
+  /** Returns the bytes that are held for callers. */
+  public long heldBytes() {
+    return registry.heldBytes();
   }
 
-  void addConnection(CallerConnection connection) {
-    connections.add(connection);
-    if (connections.size() > maxConnections) {
-      // Closes the least recently used idle connection, so that idle connections cannot keep new
-      // callers from connecting. If no other connection is idle, the maximum is exceeded.
-      for (CallerConnection other : connections) {
-        if (other != connection && other.closeIfIdle()) {
-          return;
-        }
-      }
-    }
+  /** Returns the number of open connections. */
+  public int openConnections() {
+    return registry.openConnections();
   }
 
-  /** Marks a connection as the most recently used, so that others are closed before it. */
-  void markMostRecentlyUsed(CallerConnection connection) {
-    if (connections.remove(connection)) {
-      connections.add(connection);
-    }
+  /**
+   * Returns how often a request was refused or a connection closed to keep the limits, by reason.
+   */
+  public ImmutableMap<String, Long> limitedCounts() {
+    return registry.counts();
   }
 
-  void removeConnection(CallerConnection connection) {
-    connections.remove(connection);
+  FleetClock clock() {
+    return clock;
   }
 
   /** Passes a request to the handler and counts it as in flight until its response. */
--- a/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
@@ -1,5 +1,6 @@
 package org.sassafraslink.entry.process;
 
+import com.google.common.collect.ImmutableMap;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -8,6 +9,7 @@
 import org.sassafraslink.api.fleet.RowStore.RowKey;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.entry.connection.CallerLimits;
 import org.sassafraslink.platform.fleet.JobCodec;
 import org.sassafraslink.platform.fleet.OperatorRows;
 
@@ -42,7 +44,12 @@
    */
   public static void run(EventLog log) throws InterruptedException {
     decodeSamples();
-    EntryNode node = EntryNode.start(settingsWithoutPlatform(), log, "class-loading");
+    NodeSettings settings = settingsWithoutPlatform();
+    CallerLimits limits =
+        CallerLimitSettings.parse(
+                ImmutableMap.of(), Runtime.getRuntime().maxMemory(), settings.maxDescriptors())
+            .get();
+    EntryNode node = EntryNode.start(settings, limits, log, "class-loading");
     Thread.sleep(RUN_MILLIS);
     node.stop();
   }
@@ -67,6 +74,7 @@
         "class-loading",
         "zone",
         /* processors= */ 1,
+        /* maxDescriptors= */ 4_100,
         /* callerAddress= */ anyPort,
         /* readinessAddress= */ anyPort,
         /* peerAddress= */ anyPort,
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -12,6 +12,7 @@
 import org.sassafraslink.api.fleet.AdviceClient;
 import org.sassafraslink.api.fleet.NodeSettings;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.entry.connection.CallerLimits;
 import org.sassafraslink.entry.connection.CallerServer;
 import org.sassafraslink.entry.connection.StatusServer;
 import org.sassafraslink.entry.request.JobRequestHandler;
@@ -33,9 +34,6 @@
  * <p>All network I/O runs on one event loop; the scheduler runs on a thread of its own.
  */
 public final class EntryNode {
-  /** Most open connections of callers, far fewer than the VM's limit on file descriptors. */
-  private static final int MAX_CALLER_CONNECTIONS = 3_000;
-
   /**
    * Fraction of {@link NodeSettings#stopGraceMillis} after which a stopping process no longer waits
    * for requests in flight.
@@ -66,7 +64,8 @@
   private final CallerServer callerServer;
   private volatile boolean stopping;
 
-  private EntryNode(NodeSettings settings, EventLog unobservedLog, String processId) {
+  private EntryNode(
+      NodeSettings settings, CallerLimits callerLimits, EventLog unobservedLog, String processId) {
     this.settings = settings;
     this.log = unobservedLog.withObserver(metrics);
     EventLoop eventLoop = eventLoopGroup.next();
@@ -112,8 +111,7 @@
             store, clock, log, timer, storeHealth, leaseHolderConnection::announceJob);
     JobRequestHandler requestHandler =
         JobRequestHandler.create(configWatcher, store, submissionWriter, storeHealth, clock, log);
-    callerServer =
-        CallerServer.create(requestHandler::handleRequest, clock, MAX_CALLER_CONNECTIONS);
+    callerServer = CallerServer.create(requestHandler::handleRequest, clock, log, callerLimits);
     metrics.registerGauge(
         "sassafraslink_store_answer_age_seconds",
         "Time since the store last answered",
@@ -127,6 +125,19 @@
         "sassafraslink_requests_in_flight",
         "Requests of callers that have no answer yet",
         callerServer::requestsInFlight);
+    metrics.registerGauge(
+        "sassafraslink_callers_held_bytes",
+        "Bytes held for requests and responses of callers",
+        callerServer::heldBytes);
+    metrics.registerGauge(
+        "sassafraslink_callers_connections",
+        "Open connections of callers",
+        callerServer::openConnections);
+    metrics.registerCounter(
+        "sassafraslink_callers_limited_total",
+        "Requests refused and connections closed to keep the limits on callers",
+        "reason",
+        callerServer::limitedCounts);
     metrics.registerGauge(
         "sassafraslink_log_lines_dropped",
         "Log lines for which the ring had no room",
@@ -140,12 +151,14 @@
    * files. The platform's runtime patches the code of system calls that are used often, and a
    * thread that is blocked in such a call while it is patched is lost.
    *
+   * @param callerLimits bounds on what the process holds for its callers
    * @param log receives the events; they are also counted as metrics
    * @param processId id of this process, different at each start
    * @throws ListenFailedException if a server cannot listen on its address
    */
-  public static EntryNode start(NodeSettings settings, EventLog log, String processId) {
-    EntryNode node = new EntryNode(settings, log, processId);
+  public static EntryNode start(
+      NodeSettings settings, CallerLimits callerLimits, EventLog log, String processId) {
+    EntryNode node = new EntryNode(settings, callerLimits, log, processId);
     node.listen("server for entry VMs", settings.peerAddress(), node.leaseHolderConnection::listen);
     node.listen("server for callers", settings.callerAddress(), node.callerServer::listen);
     node.listen(
--- a/entry/src/main/java/org/sassafraslink/entry/process/EventMetrics.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EventMetrics.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -10,6 +11,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.sassafraslink.api.log.EventLog;
 
 /**
@@ -79,6 +81,17 @@
         .register(registry);
   }
 
+  /** Registers a counter whose values by the value of one label are read at each scrape. */
+  void registerCounter(
+      String name, String help, String labelName, Supplier<ImmutableMap<String, Long>> values) {
+    CounterWithCallback.builder()
+        .name(name)
+        .help(help)
+        .labelNames(labelName)
+        .callback(callback -> values.get().forEach((label, value) -> callback.call(value, label)))
+        .register(registry);
+  }
+
   @Override
   public void onEvent(String event, Object... fields) {
     String kindField = KIND_FIELDS.get(event);
--- a/entry/src/test/java/org/sassafraslink/entry/connection/CallerServerTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/connection/CallerServerTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.entry.process.SystemClock;
 import org.sassafraslink.entry.request.CallerRequest;
 import org.sassafraslink.entry.request.CallerResponse;
@@ -46,7 +47,8 @@
                   callback.accept(CallerResponse.ok("{\"path\":\"" + request.path() + "\"}"));
                 },
                 new SystemClock(),
-                MAX_CONNECTIONS)
+                EventLog.silent(),
+                new CallerLimits(1 << 24, MAX_CONNECTIONS, 60_000, 20_000, 30_000, 32_768))
             .listen(eventLoopGroup, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
   }
 
