Bounds on connections of the readiness and metrics servers

Cause: both had the same fault as the callers' server: no bound on connections, on pipelined requests or on responses that are not taken. Change: 64 connections, reads of 2 KB, none while responses are not taken, and 60 s without a request.

--- a/entry/src/main/java/org/sassafraslink/entry/connection/StatusServer.java
+++ b/entry/src/main/java/org/sassafraslink/entry/connection/StatusServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
@@ -31,8 +33,18 @@
 public final class StatusServer {
   private static final int MAX_REQUEST_BODY_BYTES = 4_096;
 
+  /** Most open connections; further ones are closed at once. */
+  private static final int MAX_CONNECTIONS = 64;
+
+  /** Most bytes that are read from a connection at a time, which bounds pipelined requests. */
+  private static final int MAX_READ_BYTES = 2_048;
+
+  /** Time after which a connection without a further request is closed, in seconds. */
+  private static final int READ_TIMEOUT_SECONDS = 60;
+
   private final BooleanSupplier isReady;
   private final Supplier<String> responseText;
+  private int openConnections;
 
   private StatusServer(BooleanSupplier isReady, Supplier<String> responseText) {
     this.isReady = isReady;
@@ -55,6 +67,9 @@
         .group(eventLoopGroup)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator(64, 512, MAX_READ_BYTES))
         .childHandler(
             new ChannelInitializer<SocketChannel>() {
               @Override
@@ -62,6 +77,7 @@
                 channel
                     .pipeline()
                     .addLast(
+                        new ReadTimeoutHandler(READ_TIMEOUT_SECONDS),
                         new HttpServerCodec(),
                         new HttpObjectAggregator(MAX_REQUEST_BODY_BYTES),
                         new RequestHandler());
@@ -73,6 +89,25 @@
   }
 
   private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      openConnections++;
+      if (openConnections > MAX_CONNECTIONS) {
+        ctx.close();
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      openConnections--;
+    }
+
+    /** Suspends reading while the client does not take the responses. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+      ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
       HttpResponseStatus status =
@@ -95,7 +130,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      ctx.close();
+      ConnectionFailures.close(ctx, cause);
     }
   }
 }
