--- a/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.fleet.FleetSettings;
@@ -325,6 +326,14 @@
     @Override
     public void watch(String address, Runnable onGone) {}
 
+    @Override
+    public OptionalLong lastHeartbeatMillis() {
+      return OptionalLong.empty();
+    }
+
+    @Override
+    public void setHolding(boolean isHolding) {}
+
     @Override
     public void announceRelease() {}
   }
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -84,8 +84,14 @@
                 address ->
                     ExecutorBoundClients.adviceClient(
                         HttpAdviceClient.create(address, httpClient), schedulerThread));
+    SchedulerSettings schedulerSettings = SchedulerSettings.of(settings, processId);
     leaseHolderConnection =
-        new LeaseHolderConnection(eventLoop, schedulerThread, this::announceToScheduler);
+        new LeaseHolderConnection(
+            eventLoop,
+            schedulerThread,
+            clock,
+            schedulerSettings.takeoverDelayMillis(),
+            this::announceToScheduler);
     scheduler =
         Scheduler.create(
             ExecutorBoundClients.rowStore(store, schedulerThread),
@@ -96,7 +102,7 @@
             clock,
             log,
             new PlatformRowFormats(),
-            SchedulerSettings.of(settings, processId),
+            schedulerSettings,
             leaseHolderConnection);
     configWatcher =
         ConfigWatcher.create(
--- a/entry/src/main/java/org/sassafraslink/entry/process/LeaseHolderConnection.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/LeaseHolderConnection.java
@@ -17,15 +17,16 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.FixedLengthFrameDecoder;
-import io.netty.util.ReferenceCountUtil;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.scheduler.LeaseHolderWatch;
 
 /**
@@ -35,7 +36,8 @@
  * <p>When the connection breaks, it is opened again. If that is refused, nothing listens at the
  * address any more, so the process has ended. If it succeeds, the new connection is watched; if it
  * times out, it is tried again. Neither shows anything about the lease, so this process then waits
- * for the lease to expire. The holder sends one byte when it releases the lease.
+ * for the lease to expire. The holder sends one byte when it releases the lease, and another one as
+ * a heartbeat while it holds it (see {@link HeartbeatSender}).
  *
  * <p>In the other direction, each process announces the jobs that it has accepted, by their ids.
  * Such an announcement may be lost.
@@ -47,6 +49,8 @@
   /** The length of a job's id, in bytes. */
   private static final int JOB_ID_BYTES = 16;
 
+  private static final long NO_HEARTBEAT = Long.MIN_VALUE;
+
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   /** Pause before connecting again after a failure other than a refusal, in ms. */
@@ -54,8 +58,13 @@
 
   private final EventLoop eventLoop;
   private final Executor schedulerExecutor;
+  private final FleetClock clock;
   private final Consumer<String> onJobAnnounced;
   private final Bootstrap bootstrap;
+  private final HeartbeatSender heartbeats;
+
+  /** The request for heartbeats that this process sends to the one that it watches. */
+  private final byte[] heartbeatRequest;
 
   /** Incremented at each {@link #watch}, so that events of earlier connections can be ignored. */
   private long watchGeneration;
@@ -65,6 +74,9 @@
   /** Whether the holder is connected and has not announced that it gives the lease up. */
   private volatile boolean holderActive;
 
+  /** When the last heartbeat arrived, monotonic ms; {@link #NO_HEARTBEAT} if none has. */
+  private volatile long lastHeartbeatMillis = NO_HEARTBEAT;
+
   private Runnable onHolderGone = () -> {};
 
   /** The connections of processes that watch this one. */
@@ -73,14 +85,28 @@
   /**
    * Creates an instance that is not connected.
    *
+   * @param takeoverDelayMillis how long this process leaves a free lease to others
    * @param onJobAnnounced receives, on {@code schedulerExecutor}, the id of each job that this or
    *     another process announces to this one
    */
   LeaseHolderConnection(
-      EventLoop eventLoop, Executor schedulerExecutor, Consumer<String> onJobAnnounced) {
+      EventLoop eventLoop,
+      Executor schedulerExecutor,
+      FleetClock clock,
+      long takeoverDelayMillis,
+      Consumer<String> onJobAnnounced) {
     this.eventLoop = eventLoop;
     this.schedulerExecutor = schedulerExecutor;
+    this.clock = clock;
     this.onJobAnnounced = onJobAnnounced;
+    this.heartbeats = new HeartbeatSender(eventLoop, clock);
+    this.heartbeatRequest =
+        HeartbeatSender.encodeRequest(takeoverDelayMillis).getBytes(StandardCharsets.US_ASCII);
+    eventLoop.scheduleWithFixedDelay(
+        this::requestHeartbeats,
+        HeartbeatSender.REQUEST_INTERVAL_MILLIS,
+        HeartbeatSender.REQUEST_INTERVAL_MILLIS,
+        TimeUnit.MILLISECONDS);
     this.bootstrap =
         new Bootstrap()
             .group(eventLoop)
@@ -115,6 +141,7 @@
         () -> {
           watchGeneration++;
           holderActive = false;
+          lastHeartbeatMillis = NO_HEARTBEAT;
           onHolderGone = onGone;
           if (holderChannel != null) {
             holderChannel.close();
@@ -131,6 +158,23 @@
         });
   }
 
+  @Override
+  public OptionalLong lastHeartbeatMillis() {
+    long millis = lastHeartbeatMillis;
+    return millis == NO_HEARTBEAT ? OptionalLong.empty() : OptionalLong.of(millis);
+  }
+
+  @Override
+  public void setHolding(boolean isHolding) {
+    eventLoop.execute(() -> heartbeats.setHolding(isHolding));
+  }
+
+  private void requestHeartbeats() {
+    if (holderChannel != null && holderChannel.isWritable()) {
+      holderChannel.writeAndFlush(Unpooled.wrappedBuffer(heartbeatRequest));
+    }
+  }
+
   @Override
   public void announceRelease() {
     eventLoop.execute(
@@ -175,6 +219,7 @@
           } else if (future.isSuccess()) {
             holderChannel = connecting.channel();
             holderActive = true;
+            requestHeartbeats();
             holderChannel
                 .closeFuture()
                 .addListener(
@@ -213,14 +258,19 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       watcherChannels.remove(ctx.channel());
+      heartbeats.removeRequest(ctx.channel());
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
       ByteBuf frame = (ByteBuf) message;
-      String jobId = frame.toString(StandardCharsets.US_ASCII);
+      String text = frame.toString(StandardCharsets.US_ASCII);
       frame.release();
-      schedulerExecutor.execute(() -> onJobAnnounced.accept(jobId));
+      HeartbeatSender.decodeRequest(text)
+          .ifPresentOrElse(
+              delayMillis ->
+                  heartbeats.addRequest(ctx.channel(), delayMillis, clock.monotonicMillis()),
+              () -> schedulerExecutor.execute(() -> onJobAnnounced.accept(text)));
     }
 
     @Override
@@ -234,10 +284,17 @@
   private final class HolderChannelHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-      ReferenceCountUtil.release(message);
-      if (ctx.channel() == holderChannel) {
+      ByteBuf received = (ByteBuf) message;
+      boolean isReleased = received.indexOf(0, received.writerIndex(), RELEASED_MESSAGE) >= 0;
+      received.release();
+      if (ctx.channel() != holderChannel) {
+        return;
+      }
+      if (isReleased) {
         holderActive = false;
         schedulerExecutor.execute(onHolderGone);
+      } else {
+        lastHeartbeatMillis = clock.monotonicMillis();
       }
     }
 
--- a/entry/src/test/java/org/sassafraslink/entry/process/LeaseHolderConnectionTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/process/LeaseHolderConnectionTest.java
@@ -38,9 +38,10 @@
   private final BlockingQueue<String> announcedToHolder = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> holderEvents = new LinkedBlockingQueue<>();
   private final LeaseHolderConnection holder =
-      new LeaseHolderConnection(group.next(), Runnable::run, announcedToHolder::add);
+      new LeaseHolderConnection(
+          group.next(), Runnable::run, new SystemClock(), 0, announcedToHolder::add);
   private final LeaseHolderConnection watcher =
-      new LeaseHolderConnection(group.next(), Runnable::run, id -> {});
+      new LeaseHolderConnection(group.next(), Runnable::run, new SystemClock(), 250, id -> {});
   private InetSocketAddress address;
 
   @BeforeEach
@@ -115,4 +116,20 @@
     }
     assertEquals("gone", received);
   }
+
+  /** Guards against heartbeats that others take for the release of the lease, or that stay out. */
+  @Test
+  void heartbeatsArriveWhileTheLeaseIsHeld() throws InterruptedException {
+    assertTrue(waitUntilHolderActive(true), "connected");
+    assertTrue(watcher.lastHeartbeatMillis().isEmpty());
+    holder.setHolding(true);
+    for (int i = 0; i < 100 && watcher.lastHeartbeatMillis().isEmpty(); i++) {
+      Thread.sleep(ABSENCE_MILLIS);
+    }
+    assertTrue(watcher.lastHeartbeatMillis().isPresent());
+    assertNull(holderEvents.poll());
+    assertNull(announcedToHolder.poll(), "the request for heartbeats is no job");
+    holder.announceRelease();
+    assertEquals("gone", holderEvents.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
 }
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LeaseValidity.java
@@ -0,0 +1,25 @@
+package org.sassafraslink.scheduler;
+
+import org.sassafraslink.api.fleet.FleetClock;
+
+/**
+ * Until when a process may act as the holder of the scheduling lease. Both clocks must show an
+ * earlier time, because the monotonic clock stops while the VM is suspended.
+ *
+ * @param untilMillis monotonic ms
+ * @param untilWallMillis Unix ms
+ */
+record LeaseValidity(long untilMillis, long untilWallMillis) {
+  /** The validity before the lease was ever held. */
+  static final LeaseValidity NONE = new LeaseValidity(Long.MIN_VALUE, Long.MIN_VALUE);
+
+  /** Returns the validity after a renewal that was sent at the given times of the two clocks. */
+  static LeaseValidity renewed(long sentMillis, long sentWallMillis) {
+    return new LeaseValidity(
+        sentMillis + SchedulerLease.LEASE_MILLIS, sentWallMillis + SchedulerLease.LEASE_MILLIS);
+  }
+
+  boolean isValidAt(FleetClock clock) {
+    return clock.monotonicMillis() < untilMillis && clock.wallMillis() < untilWallMillis;
+  }
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -66,6 +66,9 @@
 
   private long leaseAcquiredMillis; // monotonic
 
+  /** When the scheduler before this one sends no more commands, monotonic ms. */
+  private long predecessorEndMillis;
+
   private Scheduler(
       RowStore store,
       WorkerClient workerClient,
@@ -266,6 +269,11 @@
     if (!jobFeed.isLoaded() || !workers.isLoaded() || !config.hasSettings()) {
       return;
     }
+    long now = clock.monotonicMillis();
+    if (now < predecessorEndMillis && !commandLog.arePredecessorCommandsOver(now)) {
+      // A task must not start on a VM that the predecessor may still move or take down.
+      return;
+    }
     jobsRestored = true;
     jobs.requestPlacement();
     jobs.restore(earlyRows);
@@ -321,11 +329,12 @@
 
   private final class LeaseListener implements SchedulerLease.Listener {
     @Override
-    public void onAcquired(long epoch) {
+    public void onAcquired(long epoch, long predecessorEndMillis) {
       long now = clock.monotonicMillis();
       leaseAcquiredMillis = now;
+      Scheduler.this.predecessorEndMillis = predecessorEndMillis;
       reset();
-      workers.reset(now + longestLeaseMillis(settings));
+      workers.reset(Math.max(now, predecessorEndMillis) + longestLeaseMillis(settings));
       vmInventory.reset();
       commandLog.reset();
       maintenance.reset();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -21,19 +21,17 @@
  * Acquires, renews and releases the scheduling lease. Only its holder schedules.
  *
  * <p>The holder row changes only when a process acquires the lease; the scheduler's transactions on
- * the same partition check the row's version. The renewal row changes with each renewal. Another
- * process takes the lease over when this row has not changed for longer than the lease lasts. The
- * holder therefore counts the lease time from before it sent the renewal. It checks the monotonic
- * and the wall clock, because the monotonic clock stops while a VM is suspended.
+ * the same partition check the row's version. The renewal row changes with each renewal. {@link
+ * HolderObservation} says when another process takes the lease over; then its transaction changes
+ * both rows, and expects their known versions. The holder counts the lease time from before it sent
+ * the renewal. It checks the monotonic and the wall clock, because the monotonic clock stops while
+ * a VM is suspended.
  */
 final class SchedulerLease {
   /** How long a lease lasts after a renewal, in ms; long enough for several failed renewals. */
   static final long LEASE_MILLIS = 2_000;
 
-  /** Added to the lease time before a takeover, in ms, because clocks differ in rate. */
-  private static final long TAKEOVER_MARGIN_MILLIS = 300;
-
-  private static final long RENEWAL_INTERVAL_MILLIS = 600;
+  static final long RENEWAL_INTERVAL_MILLIS = 600;
 
   /**
    * A holder gives up the lease when the store has not responded for this long, in ms: one renewal
@@ -54,8 +52,12 @@
 
   /** Notified when this process acquires or loses the lease; called on the scheduler's thread. */
   interface Listener {
-    /** Called when this process has acquired the lease and starts to schedule. */
-    void onAcquired(long epoch);
+    /**
+     * Called when this process has acquired the lease and starts to schedule.
+     *
+     * @param predecessorEndMillis when its predecessor sends no more commands, monotonic ms
+     */
+    void onAcquired(long epoch, long predecessorEndMillis);
 
     /** Called before this process gives the lease up, while workers still accept its commands. */
     void onGivingUp();
@@ -101,8 +103,7 @@
   private long renewalCount;
   private boolean watchingHolder;
 
-  private volatile long validUntilMillis; // monotonic
-  private volatile long validUntilWallMillis;
+  private volatile LeaseValidity validity = LeaseValidity.NONE;
 
   SchedulerLease(
       ResponseTrackingRowStore store,
@@ -121,9 +122,7 @@
 
   /** Returns whether this process holds the lease and may send commands now. Thread-safe. */
   boolean isValid() {
-    return holding
-        && clock.monotonicMillis() < validUntilMillis
-        && clock.wallMillis() < validUntilWallMillis;
+    return holding && validity.isValidAt(clock);
   }
 
   /**
@@ -174,7 +173,10 @@
       return;
     }
     boolean isDelayOver = isTakeoverDelayOver(nowMillis);
-    if (isDelayOver && holderReportedGone && !takeoverPending && readVersion >= 0) {
+    if (isDelayOver
+        && !takeoverPending
+        && readVersion >= 0
+        && observation().isReplaceableWithoutRead(nowMillis)) {
       // Does not wait for a long poll that may be pending.
       takeOver(nowMillis);
     } else if (callPending || takeoverPending) {
@@ -191,7 +193,7 @@
               applyFullRead(response);
             }
           });
-    } else if (isDelayOver && mayTakeOver(nowMillis)) {
+    } else if (isDelayOver && observation().isReplaceable(nowMillis)) {
       takeOver(nowMillis);
     } else {
       callPending = true;
@@ -199,7 +201,7 @@
       store.readChanges(
           TABLE,
           readVersion,
-          LONG_POLL_MILLIS,
+          observation().longPollMillis(LONG_POLL_MILLIS, nowMillis),
           response -> {
             if (sentGeneration == generation) {
               applyChanges(response);
@@ -208,21 +210,20 @@
     }
   }
 
-  /**
-   * Returns whether this process may take the lease over: the rows were read recently, and the
-   * lease has no holder, was released, is held by an earlier process of this node (which has ended,
-   * since this one runs), or was not renewed for longer than it lasts.
-   */
-  private boolean mayTakeOver(long nowMillis) {
-    boolean isRecent = nowMillis - lastReadMillis < LEASE_MILLIS / 2;
-    boolean isExpired = nowMillis - renewalChangedMillis > LEASE_MILLIS + TAKEOVER_MARGIN_MILLIS;
-    boolean isOwnNode = holder.node().equals(settings.node());
-    return isRecent && (holderVersion == RowStore.ABSENT || released || isOwnNode || isExpired);
+  private HolderObservation observation() {
+    return new HolderObservation(
+        holderVersion != RowStore.ABSENT,
+        released,
+        holder.node().equals(settings.node()),
+        holderReportedGone,
+        renewalChangedMillis,
+        lastReadMillis,
+        watch.lastHeartbeatMillis());
   }
 
   /** Returns whether the lease has been free for as long as this process leaves it to others. */
   private boolean isTakeoverDelayOver(long nowMillis) {
-    if (holding || !(holderReportedGone || mayTakeOver(nowMillis))) {
+    if (holding || !observation().isReplaceable(nowMillis)) {
       freeSinceMillis = 0;
       return false;
     }
@@ -244,6 +245,7 @@
             ImmutableList.of(
                 new Put(HOLDER_KEY, newHolder.encode()), new Put(RENEWAL_KEY, nextRenewalValue())),
             ImmutableList.of());
+    long predecessorEndMillis = observation().authorityEndMillis(nowMillis);
     takeoverPending = true;
     callPending = false;
     generation++;
@@ -259,9 +261,15 @@
             released = false;
             holderReportedGone = false;
             holding = true;
-            extendValidity(nowMillis, wallMillis);
-            log.log("lease.acquired", "epoch", newHolder.epoch());
-            listener.onAcquired(newHolder.epoch());
+            validity = LeaseValidity.renewed(nowMillis, wallMillis);
+            log.log(
+                "lease.acquired",
+                "epoch",
+                newHolder.epoch(),
+                "predecessorMillis",
+                predecessorEndMillis - nowMillis);
+            watch.setHolding(true);
+            listener.onAcquired(newHolder.epoch(), predecessorEndMillis);
           } else {
             // Another process was faster, or the response was lost: the rows must be read again.
             readVersion = -1;
@@ -288,7 +296,7 @@
   private void applyRenewalOutcome(Outcome outcome, long sentMillis, long sentWallMillis) {
     if (outcome instanceof Outcome.Committed committed) {
       renewalVersion = committed.version();
-      extendValidity(sentMillis, sentWallMillis);
+      validity = LeaseValidity.renewed(sentMillis, sentWallMillis);
       nextCallMillis = sentMillis + RENEWAL_INTERVAL_MILLIS;
     } else if (outcome instanceof Outcome.Conflict conflict) {
       Optional<StoredRow> currentHolder = findRow(conflict.current(), HOLDER_KEY);
@@ -342,29 +350,22 @@
     generation++;
     readVersion = -1;
     log.log("lease.lost", "epoch", holder.epoch(), "reason", reason);
+    watch.setHolding(false);
     listener.onLost();
   }
 
-  private void extendValidity(long sentMillis, long sentWallMillis) {
-    validUntilMillis = sentMillis + LEASE_MILLIS;
-    validUntilWallMillis = sentWallMillis + LEASE_MILLIS;
-  }
-
   private void applyFullRead(Either<CallFailure, Rows> response) {
     callPending = false;
     if (response.isLeft()) {
       nextCallMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
       return;
     }
-    long now = clock.monotonicMillis();
-    lastReadMillis = now;
-    readVersion = response.get().version();
     if (findRow(response.get().rows(), RENEWAL_KEY).isEmpty()) {
       renewalVersion = RowStore.ABSENT;
       holderVersion = RowStore.ABSENT;
       holder = LeaseHolder.NONE;
     }
-    response.get().rows().forEach(row -> applyRow(row, now));
+    applyRows(response.get());
   }
 
   private void applyChanges(Either<CallFailure, Rows> response) {
@@ -375,10 +376,14 @@
       readVersion = -1;
       return;
     }
+    applyRows(response.get());
+  }
+
+  private void applyRows(Rows rows) {
     long now = clock.monotonicMillis();
     lastReadMillis = now;
-    readVersion = response.get().version();
-    response.get().rows().forEach(row -> applyRow(row, now));
+    readVersion = rows.version();
+    rows.rows().forEach(row -> applyRow(row, now));
   }
 
   private void applyRow(StoredRow row, long nowMillis) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
@@ -78,6 +78,9 @@
    */
   private final Map<String, Long> pausedUntilMillis = new HashMap<>();
 
+  /** Until when an earlier scheduler may send commands to VMs in the row, monotonic ms. */
+  private long predecessorCommandsEndMillis;
+
   /** Until when no VM may get a command, because a row was not readable, monotonic ms. */
   private long allPausedUntilMillis;
 
@@ -117,6 +120,7 @@
     recordedVms.clear();
     pausedUntilMillis.clear();
     allPausedUntilMillis = Long.MIN_VALUE;
+    predecessorCommandsEndMillis = Long.MIN_VALUE;
     callbacksByVm.clear();
   }
 
@@ -130,6 +134,14 @@
         && nowMillis >= pausedUntilMillis.getOrDefault(vm, Long.MIN_VALUE);
   }
 
+  /**
+   * Returns whether no earlier scheduler sends a command to a VM any more, as far as the row shows,
+   * even if its lease is still valid.
+   */
+  boolean arePredecessorCommandsOver(long nowMillis) {
+    return loaded && nowMillis >= predecessorCommandsEndMillis;
+  }
+
   /**
    * Adds a VM to the row. {@code onRecorded} receives the authority for one command to the VM;
    * empty if the row was not stored, so that no command may be sent.
@@ -192,6 +204,7 @@
                       .forEach((vm, until) -> pause(vm, until, nowMillis)),
               () -> {
                 allPausedUntilMillis = nowMillis + pauseMillis;
+                predecessorCommandsEndMillis = Long.MAX_VALUE;
                 log.log("orders.unreadable", "table", row.key().table());
               });
     }
@@ -216,6 +229,7 @@
     Optional<StoreTime> storeTime = store.storeTime();
     if (untilStoreMillis == VmCommandRow.UNKNOWN || storeTime.isEmpty()) {
       pauseUntil(vm, VmCommandRow.UNKNOWN, nowMillis + pauseMillis);
+      predecessorCommandsEndMillis = Long.MAX_VALUE;
       return;
     }
     StoreTime time = storeTime.get();
@@ -224,6 +238,8 @@
         time.storeMillis()
             + (long) Math.ceil(MAX_SENDING_MILLIS * (1 + StoreTime.MAX_RATE_DIFFERENCE));
     long boundedStoreMillis = Math.min(untilStoreMillis, latestStoreMillis);
+    predecessorCommandsEndMillis =
+        Math.max(predecessorCommandsEndMillis, time.certainlyPassedFromMillis(boundedStoreMillis));
     long endMillis = time.certainlyPassedFromMillis(boundedStoreMillis + pauseMillis);
     if (endMillis > nowMillis) {
       pauseUntil(vm, boundedStoreMillis, endMillis);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -76,7 +77,7 @@
     }
 
     @Override
-    public void onAcquired(long epoch) {
+    public void onAcquired(long epoch, long predecessorEndMillis) {
       fences.reset();
     }
 
@@ -93,6 +94,14 @@
       onHolderGone = onGone;
     }
 
+    @Override
+    public OptionalLong lastHeartbeatMillis() {
+      return OptionalLong.empty();
+    }
+
+    @Override
+    public void setHolding(boolean isHolding) {}
+
     @Override
     public void announceRelease() {}
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/FaultMatrixTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/FaultMatrixTest.java
@@ -29,6 +29,10 @@
 
   private static final int FAULT_TIME_STEP_MILLIS = 60;
   private static final int FAULT_DURATION_MILLIS = 4_500;
+
+  /** Longer than a silent holder is waited for, and shorter than the scheduling lease, in ms. */
+  private static final int BRIEF_FREEZE_MILLIS = 1_500;
+
   private static final long SEED = 20261204;
 
   /**
@@ -61,6 +65,23 @@
         fleet.nodes.get(node).stop();
       }
     },
+    /** The process ends, but no connection to it is closed or refused. */
+    SCHEDULER_POWERED_OFF {
+      @Override
+      void inject(SimFleet fleet, String node) {
+        fleet.powerOffNode(node);
+        fleet.clock.runAfter(FAULT_DURATION_MILLIS, () -> fleet.startNode(node));
+      }
+    },
+    /** The process wakes after it was replaced, and still believes that it holds the lease. */
+    SCHEDULER_FROZEN_BRIEFLY {
+      @Override
+      void inject(SimFleet fleet, String node) {
+        SimNode process = fleet.nodes.get(node);
+        process.pause();
+        fleet.clock.runAfter(BRIEF_FREEZE_MILLIS, () -> process.resume(0));
+      }
+    },
     /** The process stops running, but its monotonic clock goes on. */
     SCHEDULER_FROZEN {
       @Override
@@ -127,6 +148,17 @@
         setCommandOutcome(fleet, node, CommandOutcome.NOT_DELIVERED);
       }
     },
+    /** Neither the scheduler nor another process reaches the other, the store or a worker. */
+    SCHEDULER_CUT_OFF {
+      @Override
+      void inject(SimFleet fleet, String node) {
+        SimNode process = fleet.nodes.get(node);
+        process.setHeartbeatsLost(true);
+        fleet.clock.runAfter(FAULT_DURATION_MILLIS, () -> process.setHeartbeatsLost(false));
+        setCommandOutcome(fleet, node, CommandOutcome.NOT_DELIVERED);
+        setStoreBehavior(fleet, List.of(node), Behavior.UNRESPONSIVE);
+      }
+    },
     SCHEDULER_CUT_OFF_FROM_WORKERS_AND_STORE {
       @Override
       void inject(SimFleet fleet, String node) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.LongStream;
@@ -136,7 +137,7 @@
     }
 
     @Override
-    public void onAcquired(long epoch) {
+    public void onAcquired(long epoch, long predecessorEndMillis) {
       commandLog.reset();
     }
 
@@ -151,6 +152,14 @@
       onHolderGone = onGone;
     }
 
+    @Override
+    public OptionalLong lastHeartbeatMillis() {
+      return OptionalLong.empty();
+    }
+
+    @Override
+    public void setHolding(boolean isHolding) {}
+
     @Override
     public void announceRelease() {}
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -146,6 +146,15 @@
     }
   }
 
+  /** Ends the process on a node, if any, as when its VM loses power: no connection is closed. */
+  public void powerOffNode(String nodeName) {
+    SimNode node = nodes.get(nodeName);
+    if (node != null) {
+      node.powerOff();
+      gangs.forgetReports();
+    }
+  }
+
   /**
    * Starts a new incarnation of a worker, after crashing the one that runs under its id, if any.
    */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.AdviceClient;
 import org.sassafraslink.api.fleet.CallFailure;
@@ -46,6 +47,7 @@
   private final SimFleet fleet;
   private final String name;
   private final Scheduler scheduler;
+  private final FleetClock clock;
 
   /** Callbacks that were due while this process was paused. */
   private final Deque<Runnable> deferredCallbacks = new ArrayDeque<>();
@@ -60,6 +62,11 @@
   private Runnable onWatchedHolderGone = () -> {};
   private boolean paused;
   private boolean killed;
+  private boolean holding;
+  private boolean heartbeatsLost;
+
+  /** When the last heartbeat of the watched process arrived, monotonic ms. */
+  private OptionalLong lastHeartbeatMillis = OptionalLong.empty();
 
   /** Time that the monotonic clock did not count because the node was suspended, in ms. */
   private long suspendedMillis;
@@ -68,7 +75,7 @@
     this.fleet = fleet;
     this.name = name;
     this.address = name + "@" + fleet.clock.nowMillis();
-    FleetClock clock =
+    clock =
         new FleetClock() {
           @Override
           public long monotonicMillis() {
@@ -120,6 +127,7 @@
     @Override
     public void watch(String address, Runnable onGone) {
       watchedAddress = address;
+      lastHeartbeatMillis = OptionalLong.empty();
       onWatchedHolderGone = onGone;
       fleet.clock.runAfter(HOLDER_CHECK_INTERVAL_MILLIS, () -> checkHolder(address, onGone));
     }
@@ -132,10 +140,24 @@
       if (holder == null || !holder.address.equals(address)) {
         wrapCallback(ignored -> onGone.run()).accept(null);
       } else {
+        boolean isSent = holder.holding && !holder.paused && !holder.killed;
+        if (isSent && !holder.heartbeatsLost && !heartbeatsLost && !paused) {
+          lastHeartbeatMillis = OptionalLong.of(clock.monotonicMillis());
+        }
         fleet.clock.runAfter(HOLDER_CHECK_INTERVAL_MILLIS, () -> checkHolder(address, onGone));
       }
     }
 
+    @Override
+    public OptionalLong lastHeartbeatMillis() {
+      return lastHeartbeatMillis;
+    }
+
+    @Override
+    public void setHolding(boolean isHolding) {
+      holding = isHolding;
+    }
+
     @Override
     public void announceRelease() {
       for (SimNode other : fleet.nodes.values()) {
@@ -186,6 +208,17 @@
     killed = true;
   }
 
+  /** Ends the process without anyone noticing: its address neither answers nor refuses. */
+  void powerOff() {
+    killed = true;
+    paused = true;
+  }
+
+  /** Sets whether heartbeats to and from this process are lost. */
+  public void setHeartbeatsLost(boolean areLost) {
+    heartbeatsLost = areLost;
+  }
+
   /** Passes on an entry VM's announcement that it has accepted a job. */
   public void announce(String jobId) {
     wrapCallback(ignored -> scheduler.onJobAnnounced(jobId)).accept(null);
