--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.RowStore.Expectation;
 import org.sassafraslink.api.fleet.RowStore.Outcome;
 import org.sassafraslink.api.fleet.RowStore.Put;
 import org.sassafraslink.api.fleet.RowStore.Range;
@@ -87,6 +89,9 @@
   /** VMs to be added to the row by the next write, each with the callback for the result. */
   private Map<String, Consumer<Optional<Authority>>> callbacksByVm = new LinkedHashMap<>();
 
+  /** The version of the row that this process has read or written last. */
+  private long rowVersion = RowStore.ABSENT;
+
   private boolean loaded;
   private boolean callPending;
   private long nextCallMillis;
@@ -195,6 +200,7 @@
       return;
     }
     loaded = true;
+    rowVersion = versionIn(rows.get().rows());
     for (StoredRow row : Iterables.concat(rows.get().rows(), earlierVersionRows.get().rows())) {
       VmCommandRow.decode(row.value())
           .ifPresentOrElse(
@@ -267,9 +273,11 @@
     batch.keySet().forEach(vm -> recordedVms.put(vm, recordedVm(storeTime, untilStoreMillis, now)));
     callPending = true;
     long sentGeneration = generation;
+    long expectedVersion = rowVersion;
+    // Without its version, a write that the store applies late would replace a later one.
     Transaction transaction =
         new Transaction(
-            ImmutableList.of(lease.holderExpectation()),
+            ImmutableList.of(lease.holderExpectation(), new Expectation(KEY, expectedVersion)),
             ImmutableList.of(new Put(KEY, currentRow().encode())),
             ImmutableList.of());
     store.commit(
@@ -278,16 +286,31 @@
           if (generation == sentGeneration) {
             callPending = false;
             lastWriteMillis = clock.monotonicMillis() - now;
-            Optional<Authority> authority =
-                outcome instanceof Outcome.Committed
-                    ? Optional.of(authorityUntil(storeTime, untilStoreMillis))
-                    : Optional.empty();
-            batch.values().forEach(callback -> callback.accept(authority));
+            if (outcome instanceof Outcome.Committed committed) {
+              rowVersion = committed.version();
+              Authority authority = authorityUntil(storeTime, untilStoreMillis);
+              batch.values().forEach(callback -> callback.accept(Optional.of(authority)));
+            } else if (outcome instanceof Outcome.Conflict conflict
+                && versionIn(conflict.current()) != expectedVersion) {
+              // An earlier write of this process was applied late.
+              rowVersion = versionIn(conflict.current());
+              batch.forEach(callbacksByVm::putIfAbsent);
+            } else {
+              batch.values().forEach(callback -> callback.accept(Optional.empty()));
+            }
             write();
           }
         });
   }
 
+  private static long versionIn(ImmutableList<StoredRow> rows) {
+    return rows.stream()
+        .filter(row -> row.key().equals(KEY) && !row.deleted())
+        .mapToLong(StoredRow::version)
+        .findFirst()
+        .orElse(RowStore.ABSENT);
+  }
+
   /** Returns how long after their record commands may be sent, given how long records take. */
   private long sendingMillis() {
     return Math.min(MAX_SENDING_MILLIS, MIN_SENDING_MILLIS + 2 * lastWriteMillis);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -422,4 +422,37 @@
     clock.advance(5_000);
     assertEquals(List.of(false), predecessor.recordResults);
   }
+
+  /**
+   * Guards against a record that the store applies after a later one, and which removes the VMs of
+   * that one from the row.
+   */
+  @Test
+  void recordAppliedLateDoesNotReplaceALaterOne() {
+    Node predecessor = startHolder();
+    fakeStore.setBehavior("n0", Behavior.APPLIES_TRANSACTIONS_LATE);
+    predecessor.recordVm("m1");
+    fakeStore.setBehavior("n0", Behavior.NORMAL);
+    clock.advance(2_950);
+    predecessor.recordVm("m2");
+    clock.advance(150);
+    assertEquals(List.of(false, true), predecessor.recordResults);
+    predecessor.lease.release();
+    Node successor = startSuccessor(predecessor);
+    assertFalse(successor.maySendCommand("m2"));
+  }
+
+  /** Guards against commands that are never sent again after a record was applied late. */
+  @Test
+  void recordIsRepeatedAfterAnEarlierOneWasAppliedLate() {
+    Node node = startHolder();
+    fakeStore.setBehavior("n0", Behavior.APPLIES_TRANSACTIONS_LATE);
+    node.recordVm("m1");
+    fakeStore.setBehavior("n0", Behavior.NORMAL);
+    clock.advance(3_100);
+    node.recordVm("m2");
+    clock.advance(50);
+    assertEquals(List.of(false, true), node.recordResults);
+    assertTrue(node.hasAuthority());
+  }
 }
