--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -78,7 +79,7 @@
     }
 
     @Override
-    public void onAcquired(long epoch) {
+    public void onAcquired(long epoch, long predecessorEndMillis) {
       fences.reset();
     }
 
@@ -95,6 +96,14 @@
       onHolderGone = onGone;
     }
 
+    @Override
+    public OptionalLong lastHeartbeatMillis() {
+      return OptionalLong.empty();
+    }
+
+    @Override
+    public void setHolding(boolean isHolding) {}
+
     @Override
     public void announceRelease() {}
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.LongStream;
@@ -137,7 +138,7 @@
     }
 
     @Override
-    public void onAcquired(long epoch) {
+    public void onAcquired(long epoch, long predecessorEndMillis) {
       commandLog.reset();
     }
 
@@ -152,6 +153,14 @@
       onHolderGone = onGone;
     }
 
+    @Override
+    public OptionalLong lastHeartbeatMillis() {
+      return OptionalLong.empty();
+    }
+
+    @Override
+    public void setHolding(boolean isHolding) {}
+
     @Override
     public void announceRelease() {}
   }
@@ -414,4 +423,37 @@
     clock.advance(5_000);
     assertEquals(List.of(false), predecessor.recordResults);
   }
+
+  /**
+   * Guards against a record that the store applies after a later one, and which removes the VMs of
+   * that one from the row.
+   */
+  @Test
+  void recordAppliedLateDoesNotReplaceALaterOne() {
+    Node predecessor = startHolder();
+    fakeStore.setBehavior("n0", Behavior.APPLIES_TRANSACTIONS_LATE);
+    predecessor.recordVm("m1");
+    fakeStore.setBehavior("n0", Behavior.NORMAL);
+    clock.advance(2_950);
+    predecessor.recordVm("m2");
+    clock.advance(150);
+    assertEquals(List.of(false, true), predecessor.recordResults);
+    predecessor.lease.release();
+    Node successor = startSuccessor(predecessor);
+    assertFalse(successor.maySendCommand("m2"));
+  }
+
+  /** Guards against commands that are never sent again after a record was applied late. */
+  @Test
+  void recordIsRepeatedAfterAnEarlierOneWasAppliedLate() {
+    Node node = startHolder();
+    fakeStore.setBehavior("n0", Behavior.APPLIES_TRANSACTIONS_LATE);
+    node.recordVm("m1");
+    fakeStore.setBehavior("n0", Behavior.NORMAL);
+    clock.advance(3_100);
+    node.recordVm("m2");
+    clock.advance(50);
+    assertEquals(List.of(false, true), node.recordResults);
+    assertTrue(node.hasAuthority());
+  }
 }
