--- a/scheduler/src/test/java/org/sassafraslink/scheduler/EvacuationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/EvacuationTest.java
@@ -17,7 +17,6 @@
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.TaskId;
-import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.scheduler.TestJobs.StepKind;
 import org.sassafraslink.scheduler.sim.FakeRowStore.Behavior;
 import org.sassafraslink.scheduler.sim.SimFleet;
@@ -42,8 +41,6 @@
   /** After an outage the operator's rows are read this much later than others at most. */
   private static final long READ_RETRY_MILLIS = 150;
 
-  private static final String POOL = "rounds";
-
   private SimFleet fleet;
 
   @AfterEach
@@ -65,28 +62,6 @@
     fleet.runFor(3_000);
   }
 
-  private void startFleetWithVms(int inPool, int inStandby) {
-    fleet =
-        SimFleet.start(
-            SEED,
-            NODES,
-            SimLayout.withStandbyPool(
-                ImmutableMap.of(POOL, 0, SimLayout.STANDBY_POOL, 0), /* movesPerSecond= */ 10));
-    addVms(POOL, inPool);
-    addVms(SimLayout.STANDBY_POOL, inStandby);
-    fleet.runFor(3_000);
-  }
-
-  /** Adds VMs, the even ones in the zone that is evacuated. */
-  private void addVms(String pool, int count) {
-    for (int i = 0; i < count; i++) {
-      if (i % 2 == 0) {
-        fleet.zoneByVm.put(pool + "-" + i, EVACUATED);
-      }
-      fleet.addVm(pool + "-" + i, pool);
-    }
-  }
-
   private SimNode scheduler() {
     return fleet.nodes.get(fleet.schedulingNodeName().orElseThrow());
   }
@@ -367,44 +342,4 @@
     assertTrue(fleet.startsIn(EVACUATED, end).size() > 0, "starts in the zone");
     assertEquals(end, since + LONG_MILLIS);
   }
-
-  /** Guards against moving VMs of the zone into a pool, and counting them as its capacity. */
-  @Test
-  void onlyVmsOfOtherZonesAreMovedToPool() {
-    startFleetWithVms(/* inPool= */ 4, /* inStandby= */ 8);
-    long since = evacuate(EVACUATED);
-    long workersBefore = fleet.workerCount(POOL);
-    long inZoneBefore = fleet.workerCountInZone(EVACUATED, POOL);
-    assertTrue(inZoneBefore > 0, "workers in the zone");
-    for (int i = 0; i < 8; i++) {
-      fleet.submitToOpenQueue("job" + i, POOL, SimFleet.stepOfMillis(4_000, 4, 12_000));
-    }
-    fleet.runFor(4_000);
-    assertTrue(fleet.workerCount(POOL) > workersBefore, "workers in the pool");
-    assertEquals(inZoneBefore, fleet.workerCountInZone(EVACUATED, POOL));
-    fleet.runFor(6 * LONG_MILLIS);
-    assertNoStartInZone(since);
-    assertCompleted("job0", "job7");
-  }
-
-  /** Guards against a wave that waits for a zone without work, or brings work back to it. */
-  @Test
-  void waveIsCompletedInEvacuatedZone() {
-    startFleetWithVms(/* inPool= */ 6, /* inStandby= */ 0);
-    long since = evacuate(EVACUATED);
-    ImmutableList<String> vms =
-        IntStream.range(0, 6)
-            .mapToObj(i -> POOL + "-" + i)
-            .collect(ImmutableList.toImmutableList());
-    Wave wave = new Wave(/* number= */ 7, vms, /* durationSeconds= */ 20, /* maxDown= */ 2);
-    fleet.nodes.values().forEach(node -> node.requestWave(wave));
-    for (int i = 0; i < 20; i++) {
-      fleet.submitToOpenQueue("job" + i, POOL, SimFleet.stepOfMillis(500, 1, 4_000));
-      fleet.runFor(500);
-    }
-    fleet.runFor(2 * LONG_MILLIS);
-    assertNoStartInZone(since);
-    assertEquals(6, fleet.maintenanceCountByVm().size());
-    assertCompleted("job0", "job19");
-  }
 }
