Tests: evacuated workers in usage, choice and state of a pool

Cause: the predicates for evacuated workers were tested only through the simulated fleet, and never with a pool whose workers are all evacuated.

Change: one case each for PoolUsage, WorkerChoice and PoolStateLog; the test of moves also runs with a pool that has no worker in another zone.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/EvacuationOfVmsTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/EvacuationOfVmsTest.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.scheduler.sim.SimFleet;
@@ -58,9 +60,10 @@
   }
 
   /** Guards against moving VMs of the zone into a pool, and counting them as its capacity. */
-  @Test
-  void onlyVmsOfOtherZonesAreMovedToPool() {
-    startFleetWithVms(/* inPool= */ 4, /* inStandby= */ 8);
+  @ParameterizedTest
+  @ValueSource(ints = {1, 4})
+  void onlyVmsOfOtherZonesAreMovedToPool(int inPool) {
+    startFleetWithVms(inPool, /* inStandby= */ 8);
     long since = evacuate();
     long workersBefore = fleet.workerCount(POOL);
     long inZoneBefore = fleet.workerCountInZone(EVACUATED, POOL);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolStateLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolStateLogTest.java
@@ -129,6 +129,17 @@
             + "\"movesTo\":3,\"capacityCores\":48.0,\"reservedCores\":1.5,\"neededCores\":2.5");
   }
 
+  // Free workers beside waiting tasks look like a fault unless the line shows the evacuation.
+  @Test
+  void evacuatedWorkersLookUsable() {
+    Worker evacuated = TestWorkers.withId("w0");
+    evacuated.zoneEvacuated = true;
+    workers.addAll(List.of(evacuated, TestWorkers.withId("w1")));
+    write();
+    assertWritten("\"workers\":2,\"uncordoned\":1,\"empty\":2");
+    assertWritten("\"evacuated\":1");
+  }
+
   // Each line costs processor time, of which the scheduler may have little.
   @Test
   void linesAreWrittenInEachPass() {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolUsageTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolUsageTest.java
@@ -51,6 +51,18 @@
     assertEquals(TestWorkers.CAPACITY.plus(TestWorkers.CAPACITY), usage.capacity());
   }
 
+  /** Guards against a pool that gets no VMs for work which an evacuated zone cannot take. */
+  @Test
+  void evacuatedWorkersAndTheirTasksAreLeftOut() {
+    Worker evacuated = TestWorkers.withId("w1");
+    evacuated.zoneEvacuated = true;
+    assignTask(evacuated, /* justifiesMoreWorkers= */ true, TestJobs.StepKind.PLAIN);
+    PoolUsage usage = PoolUsage.byPool(List.of(evacuated, TestWorkers.withId("w2"))).get(POOL);
+    assertEquals(TestWorkers.CAPACITY, usage.capacity());
+    assertEquals(TestWorkers.CAPACITY, usage.uncordonedCapacity());
+    assertEquals(Resources.NONE, usage.inTime());
+  }
+
   @Test
   void movedVmIsNoLongerUsableCapacity() {
     PoolUsage usage =
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerChoiceTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerChoiceTest.java
@@ -90,6 +90,7 @@
     Consumer<Worker> unlisted = worker -> worker.listed = false;
     Consumer<Worker> notReported = worker -> worker.hasReported = false;
     Consumer<Worker> cordoned = worker -> worker.cordonReason = "wave 1";
+    Consumer<Worker> evacuated = worker -> worker.zoneEvacuated = true;
     Consumer<Worker> unresponsive = worker -> worker.consecutiveCallFailures = 1;
     Consumer<Worker> avoided = worker -> worker.avoidUntilMillis = NOW_MILLIS + 1;
     return Stream.of(
@@ -97,6 +98,7 @@
         Arguments.of("not listed", unlisted, false),
         Arguments.of("has not reported to this scheduler", notReported, false),
         Arguments.of("cordoned", cordoned, false),
+        Arguments.of("in an evacuated zone", evacuated, false),
         Arguments.of("does not respond", unresponsive, false),
         Arguments.of("avoided after a failed request", avoided, false));
   }
