--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolStateLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolStateLogTest.java
@@ -139,6 +139,17 @@
     assertWritten("\"surplus\":1");
   }
 
+  // Free workers beside waiting tasks look like a fault unless the line shows the evacuation.
+  @Test
+  void evacuatedWorkersLookUsable() {
+    Worker evacuated = TestWorkers.withId("w0");
+    evacuated.zoneEvacuated = true;
+    workers.addAll(List.of(evacuated, TestWorkers.withId("w1")));
+    write();
+    assertWritten("\"workers\":2,\"uncordoned\":1,\"empty\":2");
+    assertWritten("\"evacuated\":1");
+  }
+
   // Each line costs processor time, of which the scheduler may have little.
   @Test
   void linesAreWrittenInEachPass() {
