Place deferred jobs by what their callers lose; a cheaper decision

Change: OverloadAdmission returns the deferred jobs in the order in which they are placed, the reverse of the order of deferral. Candidates are kept in an array and compared without a chain of comparators.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DeadlineAdmission.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DeadlineAdmission.java
@@ -96,7 +96,10 @@
     for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
       if (job.spec.dueMillis(occurrence) <= wallMillis) {
         for (ImmutableList<Task> tasks : job.occurrences().get(occurrence)) {
-          long waiting = tasks.stream().filter(task -> task.phase == TaskPhase.WAITING).count();
+          int waiting = 0;
+          for (Task task : tasks) {
+            waiting += task.phase == TaskPhase.WAITING ? 1 : 0;
+          }
           totalMillis += waiting == 0 ? 0 : waiting * wholePoolMillis(tasks.get(0));
         }
       }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
@@ -10,8 +10,8 @@
  *
  * <p>Long-running jobs are first, since they serve continuously. The next are jobs that can still
  * meet their objective, ordered by the latest time at which they can start; then those of them that
- * {@link DeadlineAdmission} does not admit; then late jobs. Excess jobs are placed after all of
- * these. Jobs that are so late that their results have no value any more are placed last.
+ * {@link OverloadDeferral} defers; then late jobs. Excess jobs are placed after all of these. Jobs
+ * that are so late that their results have no value any more are placed last.
  */
 final class JobOrder {
   /**
@@ -33,7 +33,8 @@
    *
    * @param group one of the constants above
    * @param sortKeyMillis the order within the group, a time in wall-clock ms: the latest useful
-   *     start of a job that is in time, deferred or late; else when the job was accepted or due
+   *     start of a job that is in time or late; the position of a deferred one; else when the job
+   *     was accepted or due
    */
   record Rank(int group, double sortKeyMillis) implements Comparable<Rank> {
     /** Returns whether the job is long-running or, with enough workers, in time. */
@@ -46,9 +47,13 @@
       return group == IN_TIME;
     }
 
-    /** Returns the rank of a job that can't meet its objective because of the jobs before it. */
-    Rank deferred() {
-      return new Rank(DEFERRED, sortKeyMillis);
+    /**
+     * Returns the rank of a job that is deferred because of the jobs before it.
+     *
+     * @param position its position among the deferred jobs of its pool
+     */
+    Rank deferred(int position) {
+      return new Rank(DEFERRED, position);
     }
 
     @Override
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/OverloadDeferral.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/OverloadDeferral.java
@@ -6,7 +6,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.log.EventLog;
@@ -37,14 +36,14 @@
   }
 
   /**
-   * Returns the ids of the jobs of a pool that are deferred.
+   * Returns the ids of the jobs of a pool that are deferred, in the order in which they are placed.
    *
    * @param jobs the jobs of the pool that can be in time, by latest start
    * @param usableWorkers the workers of the pool that may get tasks
    * @param nowMillis the present time, monotonic ms
    * @param wallMillis the present time, wall-clock ms
    */
-  Set<String> deferredJobs(
+  ImmutableSet<String> deferredJobs(
       String pool,
       List<InTimeJob> jobs,
       Collection<Worker> usableWorkers,
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -59,8 +59,8 @@
       return new InTimeJob(job, queue, rank.sortKeyMillis());
     }
 
-    Candidate deferred() {
-      return new Candidate(job, queue, rank.deferred(), tasks);
+    Candidate deferred(int position) {
+      return new Candidate(job, queue, rank.deferred(position), tasks);
     }
   }
 
@@ -129,15 +129,16 @@
             .add(candidate.inTimeJob());
       }
     }
-    Set<String> deferred = new HashSet<>();
+    Map<String, Integer> deferredPosition = new HashMap<>();
     inTimeByPool.forEach(
         (pool, jobs) ->
-            deferred.addAll(
-                overloadDeferral.deferredJobs(
-                    pool, jobs, usableByPool.get(pool), nowMillis, wallMillis)));
+            overloadDeferral
+                .deferredJobs(pool, jobs, usableByPool.get(pool), nowMillis, wallMillis)
+                .forEach(id -> deferredPosition.put(id, deferredPosition.size())));
     List<Candidate> ranked = new ArrayList<>(candidates.size());
     for (Candidate candidate : candidates) {
-      ranked.add(deferred.contains(candidate.job().spec.id()) ? candidate.deferred() : candidate);
+      Integer position = deferredPosition.get(candidate.job().spec.id());
+      ranked.add(position == null ? candidate : candidate.deferred(position));
     }
     ranked.sort(Comparator.comparing(Candidate::rank));
     return ranked;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/queue/OverloadAdmission.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/queue/OverloadAdmission.java
@@ -1,12 +1,13 @@
 package org.sassafraslink.scheduler.queue;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -28,17 +29,24 @@
   private record Candidate(
       WaitingJob job, int priority, boolean guaranteed, boolean aboveShare, double lossPerWork)
       implements Comparable<Candidate> {
-    private static final Comparator<Candidate> DEFERRED_FIRST =
-        Comparator.comparingInt((Candidate candidate) -> -candidate.priority)
-            .thenComparing(Candidate::guaranteed)
-            .thenComparing(candidate -> !candidate.aboveShare)
-            .thenComparingDouble(Candidate::lossPerWork)
-            .thenComparingLong(candidate -> -candidate.job.acceptedMillis())
-            .thenComparing(candidate -> candidate.job.id());
-
     @Override
     public int compareTo(Candidate other) {
-      return DEFERRED_FIRST.compare(this, other);
+      // Not a chain of comparators: rounds are frequent, and this runs for each pair in the heap.
+      if (priority != other.priority) {
+        return Integer.compare(other.priority, priority);
+      }
+      if (guaranteed != other.guaranteed) {
+        return Boolean.compare(guaranteed, other.guaranteed);
+      }
+      if (aboveShare != other.aboveShare) {
+        return Boolean.compare(other.aboveShare, aboveShare);
+      }
+      int byLoss = Double.compare(lossPerWork, other.lossPerWork);
+      if (byLoss != 0) {
+        return byLoss;
+      }
+      int byAcceptance = Long.compare(other.job.acceptedMillis(), job.acceptedMillis());
+      return byAcceptance != 0 ? byAcceptance : job.id().compareTo(other.job.id());
     }
   }
 
@@ -60,7 +68,8 @@
   }
 
   /**
-   * Returns the jobs that are deferred, by id.
+   * Returns the jobs that are deferred, by id, in the order in which they are placed when there is
+   * room after all: those that would be deferred last are first.
    *
    * @param nowMillis the present time, wall-clock ms
    */
@@ -85,16 +94,16 @@
     return nowMillis + earlierWorkMillis <= job.latestStartMillis();
   }
 
-  private ImmutableMap<String, DeferralReason> deferUntilInTime(Map<String, Candidate> candidates) {
-    Map<String, DeferralReason> deferred = new LinkedHashMap<>();
+  private ImmutableMap<String, DeferralReason> deferUntilInTime(Candidate[] candidates) {
+    Map<String, DeferralReason> deferred = new HashMap<>();
     PriorityQueue<Candidate> admitted = new PriorityQueue<>();
     double queuedMillis = load.runningMillis();
-    for (WaitingJob job : load.jobs()) {
+    for (Candidate candidate : candidates) {
+      WaitingJob job = candidate.job();
       if (job.started()) {
         queuedMillis += job.workMillis();
         continue;
       }
-      Candidate candidate = candidates.get(job.id());
       admitted.add(candidate);
       List<Candidate> replaced = new ArrayList<>();
       double earlierMillis = queuedMillis;
@@ -114,7 +123,12 @@
         admitted.addAll(replaced);
       }
     }
-    return ImmutableMap.copyOf(deferred);
+    ImmutableMap.Builder<String, DeferralReason> result = ImmutableMap.builder();
+    Arrays.stream(candidates)
+        .filter(candidate -> deferred.containsKey(candidate.job().id()))
+        .sorted(Comparator.reverseOrder())
+        .forEach(candidate -> result.put(candidate.job().id(), deferred.get(candidate.job().id())));
+    return result.buildOrThrow();
   }
 
   private DeferralReason reason(Candidate candidate) {
@@ -125,39 +139,44 @@
   }
 
   /**
-   * Returns the candidates for deferral by id.
+   * Returns a candidate for each job, by latest start.
    *
    * @param inTimeMillis the work that the pool can do in time, as time of the whole pool
    */
-  private Map<String, Candidate> candidates(double inTimeMillis) {
-    List<WaitingJob> keptFirst = new ArrayList<>(load.jobs());
-    keptFirst.sort(
-        Comparator.comparing((WaitingJob job) -> !job.started())
-            .thenComparingDouble(job -> -job.lossPerWork(nowMillis)));
-    Set<String> aboveShare = jobsAboveShare(keptFirst, inTimeMillis);
+  private Candidate[] candidates(double inTimeMillis) {
+    ImmutableList<WaitingJob> jobs = load.jobs();
+    double[] lossPerWork = new double[jobs.size()];
+    List<Integer> keptFirst = new ArrayList<>(jobs.size());
+    for (int i = 0; i < jobs.size(); i++) {
+      WaitingJob job = jobs.get(i);
+      lossPerWork[i] = job.started() ? Double.POSITIVE_INFINITY : job.lossPerWork(nowMillis);
+      keptFirst.add(i);
+    }
+    keptFirst.sort((a, b) -> Double.compare(lossPerWork[b], lossPerWork[a]));
+    Set<Integer> aboveShare = jobsAboveShare(keptFirst, inTimeMillis);
+    ServiceLevels levels = load.serviceLevels();
     Map<ServiceLevels.SizeKey, Integer> guaranteedBySize = new HashMap<>();
     Map<Integer, Integer> guaranteedByPriority = new HashMap<>();
-    Map<String, Candidate> result = new HashMap<>();
-    for (WaitingJob job : keptFirst) {
-      if (!job.started()) {
-        ServiceLevels levels = load.serviceLevels();
-        boolean isPriorityGuaranteed =
-            consume(guaranteedByPriority, job.priority(), levels::guaranteedStartsOfPriority);
-        boolean isSizeGuaranteed =
-            consume(
-                guaranteedBySize,
-                new ServiceLevels.SizeKey(job.queue(), job.size()),
-                levels::guaranteedStartsOfSize);
-        boolean isGuaranteed = isPriorityGuaranteed || isSizeGuaranteed;
-        result.put(
-            job.id(),
-            new Candidate(
-                job,
-                isGuaranteed ? highestPriority : job.priority(),
-                isGuaranteed,
-                aboveShare.contains(job.id()),
-                job.lossPerWork(nowMillis)));
-      }
+    Candidate[] result = new Candidate[jobs.size()];
+    for (int i : keptFirst) {
+      WaitingJob job = jobs.get(i);
+      boolean isPriorityGuaranteed =
+          !job.started()
+              && consume(guaranteedByPriority, job.priority(), levels::guaranteedStartsOfPriority);
+      boolean isSizeGuaranteed =
+          !job.started()
+              && consume(
+                  guaranteedBySize,
+                  new ServiceLevels.SizeKey(job.queue(), job.size()),
+                  levels::guaranteedStartsOfSize);
+      boolean isGuaranteed = isPriorityGuaranteed || isSizeGuaranteed;
+      result[i] =
+          new Candidate(
+              job,
+              isGuaranteed ? highestPriority : job.priority(),
+              isGuaranteed,
+              aboveShare.contains(i),
+              lossPerWork[i]);
     }
     return result;
   }
@@ -171,23 +190,24 @@
   }
 
   /**
-   * Returns the ids of the jobs for which their team's share has no room behind its jobs before
+   * Returns the numbers of the jobs for which their team's share has no room behind its jobs before
    * them.
    */
-  private Set<String> jobsAboveShare(List<WaitingJob> keptFirst, double inTimeMillis) {
+  private Set<Integer> jobsAboveShare(List<Integer> keptFirst, double inTimeMillis) {
     Map<String, Double> demandByTeam = new HashMap<>(load.runningMillisByTeam());
-    keptFirst.forEach(job -> demandByTeam.merge(job.team(), job.workMillis(), Double::sum));
+    load.jobs().forEach(job -> demandByTeam.merge(job.team(), job.workMillis(), Double::sum));
     if (demandByTeam.size() == 1) {
       return ImmutableSet.of();
     }
     ImmutableMap<String, Double> shares =
         TeamShares.of(demandByTeam, load.weightByTeam(), inTimeMillis);
     Map<String, Double> usedByTeam = new HashMap<>(load.runningMillisByTeam());
-    Set<String> result = new HashSet<>();
-    for (WaitingJob job : keptFirst) {
+    Set<Integer> result = new HashSet<>();
+    for (int i : keptFirst) {
+      WaitingJob job = load.jobs().get(i);
       double usedMillis = usedByTeam.getOrDefault(job.team(), 0.0);
       if (usedMillis >= shares.get(job.team())) {
-        result.add(job.id());
+        result.add(i);
       }
       usedByTeam.put(job.team(), usedMillis + job.workMillis());
     }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/OverloadReplayTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/OverloadReplayTest.java
@@ -44,8 +44,10 @@
 
   private static final Order WEIGHTED_MOORE_HODGSON =
       (load, deadline, now) -> {
-        Set<String> deferred = OverloadAdmission.deferredJobs(load, now).keySet();
-        return admittedFirst(load, job -> !deferred.contains(job.id()));
+        List<String> deferred = OverloadAdmission.deferredJobs(load, now).keySet().asList();
+        Map<String, Integer> positions = new HashMap<>();
+        deferred.forEach(id -> positions.put(id, positions.size()));
+        return sorted(load, Comparator.comparingInt(job -> positions.getOrDefault(job.id(), -1)));
       };
 
   private static final Order LOSS_PER_WORK =
