--- a/scheduler/src/test/java/org/sassafraslink/scheduler/queue/OverloadAdmissionTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/queue/OverloadAdmissionTest.java
@@ -165,7 +165,7 @@
         deferred(notServed, job("low", "team", 1, 900, 100), job("high", 200, 500)));
   }
 
-  /** Guards against rounds that take long where the scheduler has a third of a core. */
+  /** Guards against admitted jobs that start too late behind each other in a long queue. */
   @ParameterizedTest
   @ValueSource(ints = {0, 1, 2})
   void admittedJobsStartInTime(long seed) {
