--- a/entry/src/main/java/org/sassafraslink/entry/process/CallerLimitSettings.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/CallerLimitSettings.java
@@ -105,7 +105,9 @@
     for (CallerLimitSettings setting : values()) {
       String text = values.get(setting);
       Long value =
-          text == null ? setting.defaultValue(heapBytes, maxDescriptors) : Longs.tryParse(text);
+          text == null
+              ? Long.valueOf(setting.defaultValue(heapBytes, maxDescriptors))
+              : Longs.tryParse(text);
       if (value == null || value < setting.min || value > setting.max) {
         errors.add(
             String.format(
