A long row has a transaction of its own

Cause: a row that is too large for the store makes it reject the whole transaction, with the jobs of other callers. Change: BatchLimit decides which rows share a transaction; it also has the bound on the transaction's length.

--- a/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
@@ -48,12 +48,6 @@
    */
   private static final int MAX_BATCH_JOBS = 30;
 
-  /**
-   * Length of the rows in a transaction from which on none is added. With one more row of the
-   * largest size, and encoded, they stay below the platform's bound of 1 MB on a transaction.
-   */
-  private static final int FULL_BATCH_LENGTH = 150_000;
-
   /**
    * Time from the receipt of a job until it is rejected if the store fails and the job cannot have
    * been stored, in ms.
@@ -241,7 +235,7 @@
           boolean joinsBatch =
               nowMillis >= submission.nextAttemptMillis
                   && batch.size() < MAX_BATCH_JOBS
-                  && rowLength(batch) < FULL_BATCH_LENGTH
+                  && BatchLimit.admits(rowLengths(batch), submission.row.length())
                   && isSamePartition
                   && ids.add(submission.jobId);
           if (joinsBatch) {
@@ -252,8 +246,8 @@
     return batch;
   }
 
-  private static int rowLength(List<Submission> batch) {
-    return batch.stream().mapToInt(submission -> submission.row.length()).sum();
+  private static int[] rowLengths(List<Submission> batch) {
+    return batch.stream().mapToInt(submission -> submission.row.length()).toArray();
   }
 
   private static Transaction insertTransaction(List<Submission> batch) {
