Reads of the configuration log their progress

Cause: store.lost told neither how many bytes of a response had arrived, nor how many were expected, nor whether the store answered other calls, so the three hypotheses of the incident could not be told apart. No decision changes.

--- a/api/src/main/java/org/sassafraslink/api/fleet/RowStore.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/RowStore.java
@@ -109,4 +109,23 @@
    */
   void readChanges(
       String table, long version, int waitMillis, Consumer<Either<CallFailure, Rows>> callback);
+
+  /** As {@link #read(Range, Consumer)}; {@code observer} may be told how the response arrives. */
+  default void read(
+      Range range, TransferObserver observer, Consumer<Either<CallFailure, Rows>> callback) {
+    read(range, callback);
+  }
+
+  /**
+   * As {@link #readChanges(String, long, int, Consumer)}; {@code observer} may be told how the
+   * response arrives.
+   */
+  default void readChanges(
+      String table,
+      long version,
+      int waitMillis,
+      TransferObserver observer,
+      Consumer<Either<CallFailure, Rows>> callback) {
+    readChanges(table, version, waitMillis, callback);
+  }
 }
--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
@@ -64,6 +64,9 @@
    */
   private long verifiedAtMillis;
 
+  /** The pending read, or the last one. */
+  private ReadProgress readProgress = ReadProgress.begin(0);
+
   /** The number of reads that have failed since the last one that did not. */
   private int consecutiveFailures;
 
@@ -121,6 +124,11 @@
     return newestConfig;
   }
 
+  /** Returns the read that is pending, or the last one. */
+  ReadProgress readProgress() {
+    return readProgress;
+  }
+
   /** Returns how many zones are to be evacuated, as far as is known. */
   public int evacuatedZoneCount() {
     return evacuationRows.toEvacuations(verifiedAtMillis).zones().size();
@@ -155,6 +163,7 @@
 
   private void readNext() {
     long sentMillis = clock.monotonicMillis();
+    readProgress = ReadProgress.begin(sentMillis);
     if (readUpToVersion < 0) {
       readPage("", ImmutableList.of(), Long.MAX_VALUE, sentMillis);
     } else {
@@ -165,6 +174,7 @@
           OperatorRows.TABLE,
           readUpToVersion,
           waitMillis,
+          this::recordReceived,
           result -> applyReadResult(result, false, sentMillis));
     }
   }
@@ -181,6 +191,7 @@
       String fromKey, ImmutableList<StoredRow> rowsSoFar, long lowestVersion, long sentMillis) {
     store.read(
         new Range(OperatorRows.TABLE, "", fromKey, ""),
+        this::recordReceived,
         result -> {
           if (result.isLeft()) {
             applyReadResult(result, true, sentMillis);
@@ -199,10 +210,33 @@
         });
   }
 
+  private void recordReceived(long receivedBytes, long expectedBytes) {
+    readProgress =
+        readProgress.recordReceived(receivedBytes, expectedBytes, clock.monotonicMillis());
+  }
+
+  private void logReadFailure(CallFailure failure, long nowMillis) {
+    log.log(
+        "config.read_failed",
+        "failure",
+        failure,
+        "after",
+        nowMillis - readProgress.sentMillis(),
+        "received",
+        readProgress.receivedBytes(),
+        "expected",
+        readProgress.expectedBytes(),
+        "sinceLastByte",
+        readProgress.millisSinceLastByte(nowMillis),
+        "sinceAnyAnswer",
+        storeSilenceMillis(nowMillis));
+  }
+
   private void applyReadResult(
       Either<CallFailure, Rows> result, boolean isWholeTable, long sentMillis) {
     long nowMillis = clock.monotonicMillis();
     if (result.isLeft()) {
+      logReadFailure(result.getLeft(), nowMillis);
       if (result.getLeft() == CallFailure.HISTORY_DISCARDED) {
         log.log("config.history_discarded", "after", readUpToVersion);
         readUpToVersion = -1;
@@ -292,7 +326,13 @@
         "queues",
         decodedConfig.get().queues().size(),
         "teams",
-        decodedConfig.get().teams().size());
+        decodedConfig.get().teams().size(),
+        "received",
+        readProgress.receivedBytes(),
+        "transferMillis",
+        readProgress.transferMillis(),
+        "decodeMillis",
+        readProgress.millisSinceLastByte(clock.monotonicMillis()));
     onConfig.accept(decodedConfig.get());
   }
 
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -131,6 +131,7 @@
         "sassafraslink_evacuated_zones",
         "Availability zones that the operator has asked to evacuate",
         configWatcher::evacuatedZoneCount);
+    ConfigGauges.register(metrics, configWatcher, clock);
     SchedulerLoadGauges.register(metrics, scheduler.load()::lastSecond);
     metrics.registerGauge(
         "sassafraslink_requests_in_flight",
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/ResponseTrackingRowStore.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/ResponseTrackingRowStore.java
@@ -6,6 +6,7 @@
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.TransferObserver;
 
 /**
  * A {@link RowStore} that records when the store last responded to a call without a failure, and
@@ -59,10 +60,17 @@
 
   @Override
   public void read(Range range, Consumer<Either<CallFailure, Rows>> done) {
+    read(range, TransferObserver.NONE, done);
+  }
+
+  @Override
+  public void read(
+      Range range, TransferObserver observer, Consumer<Either<CallFailure, Rows>> done) {
     long sentMillis = clock.monotonicMillis();
     long sentWallMillis = clock.wallMillis();
     store.read(
         range,
+        observer,
         result -> {
           result.forEach(rows -> recordStoreTime(rows.storeMillis(), sentMillis, sentWallMillis));
           done.accept(recordIfSuccessful(result));
@@ -72,8 +80,18 @@
   @Override
   public void readChanges(
       String table, long version, int waitMillis, Consumer<Either<CallFailure, Rows>> done) {
+    readChanges(table, version, waitMillis, TransferObserver.NONE, done);
+  }
+
+  @Override
+  public void readChanges(
+      String table,
+      long version,
+      int waitMillis,
+      TransferObserver observer,
+      Consumer<Either<CallFailure, Rows>> done) {
     store.readChanges(
-        table, version, waitMillis, result -> done.accept(recordIfSuccessful(result)));
+        table, version, waitMillis, observer, result -> done.accept(recordIfSuccessful(result)));
   }
 
   private void recordStoreTime(long storeMillis, long sentMillis, long sentWallMillis) {
