--- a/api/src/main/java/org/sassafraslink/api/fleet/TransferObserver.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/TransferObserver.java
@@ -1,8 +1,11 @@
 package org.sassafraslink.api.fleet;
 
-/** Observes how the body of a response arrives. */
+/** Observes how the body of a successful response arrives. */
 @FunctionalInterface
 public interface TransferObserver {
+  /** The size of a body whose sender has not told it. */
+  long UNKNOWN_BYTES = -1;
+
   /** Ignores all progress. */
   TransferObserver NONE = (receivedBytes, expectedBytes) -> {};
 
@@ -11,7 +14,7 @@
    * the body have arrived.
    *
    * @param receivedBytes how many bytes of the body have arrived so far
-   * @param expectedBytes the size of the whole body; negative if it is unknown
+   * @param expectedBytes the size of the whole body, or {@link #UNKNOWN_BYTES}
    */
   void onReceived(long receivedBytes, long expectedBytes);
 }
