Outage of the store, outdated configuration and slow transfer are separate states

Callers saw: jobs refused with store_silent and 503 configuration-stale from VMs that the store answered within 100 ms. Cause: a failed read of the configuration meant that the store was lost, for readiness, rejections and the acceptance of jobs alike; and only complete responses counted as a sign of the store, so a transfer of more than 1,250 ms counted as silence. The store is lost if nothing arrives from it, to any call; the configuration is outdated if a newer one may exist for longer than the users' bound; a response that is arriving is neither. Outdated VMs are not ready and ask callers whom their configuration does not allow to retry; jobs are accepted unless the store is lost. The age of a configuration counts from the beginning of the response that showed it, since a newer one may be acknowledged during the transfer.

--- a/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
@@ -37,6 +37,8 @@
  *     target
  * @param maxEvacuationDelayMillis how long after the request to evacuate an availability zone a
  *     start there is allowed; empty if the platform states no bound
+ * @param maxConfigDelayMillis how long after the acknowledgement of a configuration an older one
+ *     may be applied; empty if the platform states no bound
  */
 public record NodeSettings(
     String node,
@@ -61,4 +63,5 @@
     long moveMillis,
     long unavailabilityThresholdMillis,
     long maxBackfillImpactMillis,
-    Optional<Long> maxEvacuationDelayMillis) {}
+    Optional<Long> maxEvacuationDelayMillis,
+    Optional<Long> maxConfigDelayMillis) {}
--- a/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
@@ -93,6 +93,7 @@
         /* moveMillis= */ 1_500,
         /* unavailabilityThresholdMillis= */ 4_500,
         /* maxBackfillImpactMillis= */ 4_000,
-        /* maxEvacuationDelayMillis= */ Optional.empty());
+        /* maxEvacuationDelayMillis= */ Optional.empty(),
+        /* maxConfigDelayMillis= */ Optional.empty());
   }
 }
--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
@@ -17,6 +17,7 @@
 import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.platform.fleet.OperatorRows;
+import org.sassafraslink.rules.version.ConfigReading;
 import org.sassafraslink.scheduler.ResponseTrackingRowStore;
 
 /**
@@ -36,15 +37,16 @@
   private static final int RETRY_PAUSE_MILLIS = 100;
 
   /**
-   * Time without an answer to any call after which the store counts as unreachable, in ms. The
-   * scheduler's lease renewals alone get an answer every 0.6 s, and a slow store adds 0.6 s.
+   * Part of the bound on the application of a change that a transfer may take before it is logged
+   * as slow. A change that is made during the transfer of another one waits for both.
    */
-  private static final long UNREACHABLE_AFTER_MILLIS = 1_250;
+  private static final double SLOW_TRANSFER_FRACTION = 0.5;
 
   private final ResponseTrackingRowStore store;
   private final FleetClock clock;
   private final EventLog log;
   private final BiConsumer<Runnable, Integer> timer;
+  private final Optional<Long> maxDelayMillis;
   private final Consumer<FleetSettings> onConfig;
   private final Consumer<ImmutableList<Wave>> onWaves;
   private final Consumer<Evacuations> onEvacuations;
@@ -58,17 +60,11 @@
   /** Version of the store up to which changes have been read; -1 to read the whole table next. */
   private long readUpToVersion = -1;
 
-  /**
-   * When a read last showed that {@link #newestConfig} is the newest version, or the watcher's
-   * start before the first such read, monotonic ms.
-   */
-  private long verifiedAtMillis;
-
   /** The pending read, or the last one. */
   private ReadProgress readProgress = ReadProgress.begin(0);
 
-  /** The number of reads that have failed since the last one that did not. */
-  private int consecutiveFailures;
+  private ConfigReading reading = ConfigReading.begin(0);
+  private ConfigReading.State loggedState = ConfigReading.State.CURRENT;
 
   /** Whether the last read failed, unless it failed with {@link CallFailure#HISTORY_DISCARDED}. */
   private boolean readsFailing;
@@ -78,6 +74,7 @@
       FleetClock clock,
       EventLog log,
       BiConsumer<Runnable, Integer> timer,
+      Optional<Long> maxDelayMillis,
       Consumer<FleetSettings> onConfig,
       Consumer<ImmutableList<Wave>> onWaves,
       Consumer<Evacuations> onEvacuations) {
@@ -85,6 +82,7 @@
     this.clock = clock;
     this.log = log;
     this.timer = timer;
+    this.maxDelayMillis = maxDelayMillis;
     this.onConfig = onConfig;
     this.onWaves = onWaves;
     this.onEvacuations = onEvacuations;
@@ -95,6 +93,8 @@
    * Returns a watcher that reads nothing until {@link #start} is called.
    *
    * @param timer runs a task on the watcher's thread after a delay in ms
+   * @param maxDelayMillis bound on the time from a change of the configuration to its application,
+   *     in ms; empty if the platform states none
    * @param onConfig receives each new version of the configuration
    * @param onWaves receives all known waves after each read that returned a wave
    * @param onEvacuations receives the evacuations in force after each read; its first call follows
@@ -105,17 +105,19 @@
       FleetClock clock,
       EventLog log,
       BiConsumer<Runnable, Integer> timer,
+      Optional<Long> maxDelayMillis,
       Consumer<FleetSettings> onConfig,
       Consumer<ImmutableList<Wave>> onWaves,
       Consumer<Evacuations> onEvacuations) {
-    return new ConfigWatcher(store, clock, log, timer, onConfig, onWaves, onEvacuations);
+    return new ConfigWatcher(
+        store, clock, log, timer, maxDelayMillis, onConfig, onWaves, onEvacuations);
   }
 
   /**
    * Starts the first read. The next one starts after each answer, or after a failure and a pause.
    */
   public void start() {
-    verifiedAtMillis = clock.monotonicMillis();
+    reading = ConfigReading.begin(clock.monotonicMillis());
     readNext();
   }
 
@@ -131,34 +133,50 @@
 
   /** Returns how many zones are to be evacuated, as far as is known. */
   public int evacuatedZoneCount() {
-    return evacuationRows.toEvacuations(verifiedAtMillis).zones().size();
+    return evacuationRows.toEvacuations(reading.verifiedAtMillis()).zones().size();
   }
 
   /** Returns the time since a read last showed that no newer configuration exists, in ms. */
   public long millisSinceVerified(long nowMillis) {
-    return nowMillis - verifiedAtMillis;
+    return nowMillis - reading.verifiedAtMillis();
   }
 
-  /**
-   * Returns whether the store seems to be unreachable, because the last read failed or because no
-   * call has been answered for {@link #UNREACHABLE_AFTER_MILLIS}.
-   */
+  /** Returns what is known about the configuration in force, and logs it if it has changed. */
+  public ConfigReading.State state(long nowMillis) {
+    ConfigReading.State state = currentReading().state(nowMillis, maxDelayMillis);
+    if (state != loggedState) {
+      log.log(
+          "config.state",
+          "state",
+          state,
+          "previous",
+          loggedState,
+          "version",
+          newestConfig.map(FleetSettings::version).orElse(0L),
+          "age",
+          millisSinceVerified(nowMillis));
+      loggedState = state;
+    }
+    return state;
+  }
+
+  /** Returns whether the store seems to be unreachable. */
   public boolean isStoreUnreachable(long nowMillis) {
-    return readsFailing || storeSilenceMillis(nowMillis) > UNREACHABLE_AFTER_MILLIS;
+    return currentReading().isStoreLost(nowMillis);
   }
 
-  /**
-   * Returns whether the store is probably unreachable for all calls: two reads in a row have
-   * failed, or no call has been answered for {@link #UNREACHABLE_AFTER_MILLIS}. A single failure
-   * may be that of one connection.
-   */
+  /** Returns whether the store is probably unreachable for all calls. */
   public boolean isStoreOutageLikely(long nowMillis) {
-    return consecutiveFailures > 1 || storeSilenceMillis(nowMillis) > UNREACHABLE_AFTER_MILLIS;
+    return currentReading().isOutageLikely(nowMillis);
+  }
+
+  private ConfigReading currentReading() {
+    return reading.withContact(store.lastContactMillis());
   }
 
-  /** Returns for how long the store has answered no call of this process, in ms. */
+  /** Returns for how long nothing has arrived from the store, in ms. */
   public long storeSilenceMillis(long nowMillis) {
-    return nowMillis - store.lastResponseMillis();
+    return nowMillis - store.lastContactMillis();
   }
 
   private void readNext() {
@@ -213,6 +231,9 @@
   private void recordReceived(long receivedBytes, long expectedBytes) {
     readProgress =
         readProgress.recordReceived(receivedBytes, expectedBytes, clock.monotonicMillis());
+    if (readProgress.containsChanges()) {
+      reading = reading.recordChangeArriving();
+    }
   }
 
   private void logReadFailure(CallFailure failure, long nowMillis) {
@@ -232,28 +253,53 @@
         storeSilenceMillis(nowMillis));
   }
 
+  private void applyReadFailure(CallFailure failure, long nowMillis) {
+    if (failure == CallFailure.HISTORY_DISCARDED) {
+      // The store has answered, and changes may exist.
+      log.log("config.history_discarded", "after", readUpToVersion);
+      readUpToVersion = -1;
+      reading = reading.recordChangeArriving();
+      timer.accept(this::readNext, 0);
+      return;
+    }
+    if (!readsFailing) {
+      readsFailing = true;
+      log.log("store.lost", "failure", failure, "age", millisSinceVerified(nowMillis));
+    }
+    reading = reading.recordFailure(nowMillis);
+    timer.accept(this::readNext, reading.failures() == 1 ? 0 : RETRY_PAUSE_MILLIS);
+  }
+
+  private void logSlowTransfer() {
+    long transferMillis = readProgress.transferMillis();
+    maxDelayMillis
+        .filter(bound -> transferMillis > bound * SLOW_TRANSFER_FRACTION)
+        .ifPresent(
+            bound ->
+                log.log(
+                    "config.slow_transfer",
+                    "received",
+                    readProgress.receivedBytes(),
+                    "transferMillis",
+                    transferMillis,
+                    "bound",
+                    bound));
+  }
+
   private void applyReadResult(
       Either<CallFailure, Rows> result, boolean isWholeTable, long sentMillis) {
     long nowMillis = clock.monotonicMillis();
     if (result.isLeft()) {
       logReadFailure(result.getLeft(), nowMillis);
-      if (result.getLeft() == CallFailure.HISTORY_DISCARDED) {
-        log.log("config.history_discarded", "after", readUpToVersion);
-        readUpToVersion = -1;
-      } else if (!readsFailing) {
-        readsFailing = true;
-        log.log("store.lost", "failure", result.getLeft(), "age", nowMillis - verifiedAtMillis);
-      }
-      consecutiveFailures++;
-      timer.accept(this::readNext, consecutiveFailures == 1 ? 0 : RETRY_PAUSE_MILLIS);
+      applyReadFailure(result.getLeft(), nowMillis);
       return;
     }
-    consecutiveFailures = 0;
     if (readsFailing) {
       readsFailing = false;
-      log.log("store.regained", "after", nowMillis - verifiedAtMillis);
+      log.log("store.regained", "after", millisSinceVerified(nowMillis));
     }
-    verifiedAtMillis = nowMillis;
+    logSlowTransfer();
+    reading = reading.recordSuccess(readProgress.asOfMillis(nowMillis));
     readUpToVersion = result.get().version();
     boolean wavesChanged = false;
     for (StoredRow row : result.get().rows()) {
--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -23,6 +23,7 @@
 import org.sassafraslink.platform.fleet.HttpRowStore;
 import org.sassafraslink.platform.fleet.HttpVmClient;
 import org.sassafraslink.platform.fleet.HttpWorkerClient;
+import org.sassafraslink.rules.version.ConfigReading;
 import org.sassafraslink.scheduler.ResponseTrackingRowStore;
 import org.sassafraslink.scheduler.Scheduler;
 import org.sassafraslink.scheduler.SchedulerSettings;
@@ -109,6 +110,7 @@
             clock,
             log,
             timer,
+            settings.maxConfigDelayMillis(),
             config -> schedulerThread.execute(() -> scheduler.onConfig(config)),
             waves -> schedulerThread.execute(() -> scheduler.onWaves(waves)),
             evacuations -> schedulerThread.execute(() -> scheduler.onEvacuations(evacuations)));
@@ -233,9 +235,9 @@
   }
 
   private boolean isReady() {
-    return !stopping
-        && configWatcher.newestConfig().isPresent()
-        && !configWatcher.isStoreUnreachable(clock.monotonicMillis());
+    // Evaluated in any case, since it also logs the state.
+    ConfigReading.State state = configWatcher.state(clock.monotonicMillis());
+    return !stopping && configWatcher.newestConfig().isPresent() && state.isReliable();
   }
 
   /**
--- a/entry/src/main/java/org/sassafraslink/entry/process/ReadProgress.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ReadProgress.java
@@ -18,6 +18,9 @@
   /** Stands for a time or a size that is not known. */
   static final long NONE = -1;
 
+  /** Size of the largest response without rows, in bytes: the names of its fields, and numbers. */
+  private static final long MAX_BYTES_WITHOUT_ROWS = 256;
+
   /** Returns the progress of a read that is sent now. */
   static ReadProgress begin(long nowMillis) {
     return new ReadProgress(nowMillis, NONE, NONE, 0, NONE);
@@ -33,11 +36,25 @@
         Math.max(NONE, totalExpectedBytes));
   }
 
+  /** Returns whether the response contains changed rows. */
+  boolean containsChanges() {
+    return Math.max(receivedBytes, expectedBytes) > MAX_BYTES_WITHOUT_ROWS;
+  }
+
   /** Returns the time since the newest bytes arrived, in ms; {@link #NONE} if none has. */
   long millisSinceLastByte(long nowMillis) {
     return lastByteMillis == NONE ? NONE : nowMillis - lastByteMillis;
   }
 
+  /**
+   * Returns a time at which the rows in the response were the newest in the store, monotonic ms.
+   *
+   * @param answeredMillis when the response was complete
+   */
+  long asOfMillis(long answeredMillis) {
+    return firstByteMillis == NONE ? answeredMillis : firstByteMillis;
+  }
+
   /** Returns how long the response took from its first to its last byte so far, in ms. */
   long transferMillis() {
     return firstByteMillis == NONE ? 0 : lastByteMillis - firstByteMillis;
--- a/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
@@ -339,14 +339,13 @@
   }
 
   /**
-   * Rejects a request for a reason that may depend on the configuration. While the store is
-   * unreachable, the configuration may be outdated, so the response then only asks the caller to
-   * retry.
+   * Rejects a request for a reason that may depend on the configuration. If the configuration may
+   * be outdated for longer than the bound on a change, the response only asks the caller to retry.
    */
   private void reject(
       CallerRequest request, FailureType type, String detail, Consumer<CallerResponse> callback) {
     long configAgeMillis = configWatcher.millisSinceVerified(clock.monotonicMillis());
-    boolean mayBeStale = configWatcher.isStoreUnreachable(clock.monotonicMillis());
+    boolean mayBeStale = !configWatcher.state(clock.monotonicMillis()).isReliable();
     log.log(
         "call.refused",
         "method",
--- a/entry/src/test/java/org/sassafraslink/entry/link/ConfigOverSlowLinkTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/link/ConfigOverSlowLinkTest.java
@@ -20,9 +20,6 @@
   private static final int LINK_BYTES_PER_SECOND = 200_000;
   private static final int SMALL_BYTES = 2_000;
 
-  /** The bound of the users on the time from an acknowledgement to the version in force. */
-  private static final long CONFIG_BOUND_MILLIS = 3_000;
-
   /**
    * A version waits for the transfer of the one before it, if that has just begun, and for its own.
    */
@@ -44,7 +41,7 @@
     store = LinkedStoreStandIn.start(LINK_BYTES_PER_SECOND);
     store.publish(1, SMALL_BYTES);
     node = WatchingNode.start(store.address());
-    assertTrue(node.awaitInForce(1, CONFIG_BOUND_MILLIS), "first version");
+    assertTrue(node.awaitInForce(1, WatchingNode.CONFIG_BOUND_MILLIS), "first version");
   }
 
   @AfterEach
@@ -59,7 +56,7 @@
 
   private static long boundMillis(long transferMillis, int lostTransfers) {
     return Math.max(
-        CONFIG_BOUND_MILLIS,
+        WatchingNode.CONFIG_BOUND_MILLIS,
         (TRANSFERS_PER_VERSION + lostTransfers) * transferMillis
             + (1 + lostTransfers) * (SILENCE_MILLIS + PROCESSING_MILLIS));
   }
--- a/entry/src/test/java/org/sassafraslink/entry/link/WatchingNode.java
+++ b/entry/src/test/java/org/sassafraslink/entry/link/WatchingNode.java
@@ -22,6 +22,9 @@
 
 /** A configuration watcher that reads a store over sockets, as in a process on an entry VM. */
 final class WatchingNode {
+  /** The bound of the users on the time from an acknowledgement to the version in force. */
+  static final long CONFIG_BOUND_MILLIS = 3_000;
+
   private static final long POLL_MILLIS = 5;
 
   private static final class MonotonicClock implements FleetClock {
@@ -56,6 +59,7 @@
             EventLog.create(
                 "n", clock::wallMillis, line -> logLines.add(new LogLine(System.nanoTime(), line))),
             (task, millis) -> eventLoop.schedule(task, millis, TimeUnit.MILLISECONDS),
+            Optional.of(CONFIG_BOUND_MILLIS),
             this::recordInForce,
             waves -> {},
             evacuations -> {});
--- a/entry/src/test/java/org/sassafraslink/entry/process/ConfigWatcherTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/process/ConfigWatcherTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,9 @@
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.TransferObserver;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.rules.version.ConfigReading.State;
 import org.sassafraslink.scheduler.ResponseTrackingRowStore;
 
 /**
@@ -33,6 +36,9 @@
   /** The listener fails when it receives this version. */
   private static final long FAILING_VERSION = 6;
 
+  /** The bound on the time from a change to its application. */
+  private static final long MAX_DELAY_MILLIS = 3_000;
+
   private long nowMillis = 10_000;
 
   /** Callbacks of the reads that the store has not answered yet. */
@@ -56,10 +62,24 @@
 
   private Evacuations lastEvacuations;
 
+  /** Receives the progress of the last read of changes. */
+  private TransferObserver lastObserver = TransferObserver.NONE;
+
   private ConfigWatcher watcher;
 
   /** A store that answers reads only when the test calls for it. */
   private final class ManualStore implements RowStore {
+    @Override
+    public void readChanges(
+        String table,
+        long version,
+        int waitMillis,
+        TransferObserver observer,
+        Consumer<Either<CallFailure, Rows>> callback) {
+      lastObserver = observer;
+      readChanges(table, version, waitMillis, callback);
+    }
+
     @Override
     public void commit(Transaction transaction, Consumer<Outcome> callback) {
       throw new UnsupportedOperationException();
@@ -102,6 +122,7 @@
               scheduledRetry = task;
               retryDelayMillis = millis;
             },
+            Optional.of(MAX_DELAY_MILLIS),
             this::receive,
             waves -> reports.add("waves"),
             evacuations -> {
@@ -295,4 +316,41 @@
     scheduledRetry.run();
     assertEquals(-1, waitMillisByRead.get(waitMillisByRead.size() - 1));
   }
+
+  /** Guards against a VM that is not ready while a large configuration arrives. */
+  @Test
+  void storeIsReachableWhileResponseArrives() {
+    answerNextRead(configJson(5));
+    for (int received = 10_000; received <= 50_000; received += 10_000) {
+      nowMillis += 500;
+      lastObserver.onReceived(received, 100_000);
+      assertEquals(State.READING, watcher.state(nowMillis));
+      assertFalse(watcher.isStoreOutageLikely(nowMillis));
+    }
+    nowMillis += 501;
+    lastObserver.onReceived(60_000, 100_000);
+    assertEquals(State.OUTDATED, watcher.state(nowMillis));
+    assertFalse(watcher.isStoreOutageLikely(nowMillis), "jobs are accepted");
+  }
+
+  /** A version that is acknowledged during a transfer is in a later response. */
+  @Test
+  void ageCountsFromTheBeginningOfTheResponse() {
+    answerNextRead(configJson(5));
+    nowMillis += 100;
+    lastObserver.onReceived(0, 100_000);
+    nowMillis += 2_000;
+    lastObserver.onReceived(100_000, 100_000);
+    answerNextRead(configJson(7));
+    assertEquals(2_000, watcher.millisSinceVerified(nowMillis));
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 70})
+  void shortResponseIsNoChange(int bytes) {
+    answerNextRead(configJson(5));
+    nowMillis += 1_000;
+    lastObserver.onReceived(0, bytes);
+    assertEquals(State.CURRENT, watcher.state(nowMillis));
+  }
 }
--- a/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -124,6 +125,7 @@
             new TestClock(),
             EventLog.silent(),
             (task, millis) -> {},
+            /* maxDelayMillis= */ Optional.empty(),
             settings -> {},
             waves -> {},
             evacuations -> {});
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/ResponseTrackingRowStore.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/ResponseTrackingRowStore.java
@@ -9,8 +9,8 @@
 import org.sassafraslink.api.fleet.TransferObserver;
 
 /**
- * A {@link RowStore} that records when the store last responded to a call without a failure, and
- * the time that the store's clock showed.
+ * A {@link RowStore} that records when the store last responded to a call without a failure, when
+ * bytes of such a response last arrived, and the time that the store's clock showed.
  */
 public final class ResponseTrackingRowStore implements RowStore {
   private final RowStore store;
@@ -19,6 +19,9 @@
   /** Volatile, since threads other than the one that makes the calls read it. */
   private volatile long lastResponseMillis;
 
+  /** When bytes of a successful response to a read last arrived; volatile for the same reason. */
+  private volatile long lastBytesMillis;
+
   private Optional<StoreTime> storeTime = Optional.empty();
 
   /** Creates a wrapper of {@code store}; its construction counts as the first response. */
@@ -26,6 +29,7 @@
     this.store = store;
     this.clock = clock;
     this.lastResponseMillis = clock.monotonicMillis();
+    this.lastBytesMillis = lastResponseMillis;
   }
 
   /** Returns when the store last responded to any call without a failure, monotonic ms. */
@@ -33,6 +37,14 @@
     return lastResponseMillis;
   }
 
+  /**
+   * Returns when the store last responded to any call without a failure, or a part of such a
+   * response arrived, monotonic ms.
+   */
+  public long lastContactMillis() {
+    return Math.max(lastResponseMillis, lastBytesMillis);
+  }
+
   /**
    * Returns the latest reading of the store's clock; empty if the store has not told its time. Must
    * be called on the thread that runs the callbacks.
@@ -70,7 +82,7 @@
     long sentWallMillis = clock.wallMillis();
     store.read(
         range,
-        observer,
+        trackBytes(observer),
         result -> {
           result.forEach(rows -> recordStoreTime(rows.storeMillis(), sentMillis, sentWallMillis));
           done.accept(recordIfSuccessful(result));
@@ -91,7 +103,18 @@
       TransferObserver observer,
       Consumer<Either<CallFailure, Rows>> done) {
     store.readChanges(
-        table, version, waitMillis, observer, result -> done.accept(recordIfSuccessful(result)));
+        table,
+        version,
+        waitMillis,
+        trackBytes(observer),
+        result -> done.accept(recordIfSuccessful(result)));
+  }
+
+  private TransferObserver trackBytes(TransferObserver observer) {
+    return (receivedBytes, expectedBytes) -> {
+      lastBytesMillis = clock.monotonicMillis();
+      observer.onReceived(receivedBytes, expectedBytes);
+    };
   }
 
   private void recordStoreTime(long storeMillis, long sentMillis, long sentWallMillis) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/TestNodeSettings.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/TestNodeSettings.java
@@ -48,6 +48,7 @@
         /* moveMillis= */ FakeVmPlatform.MOVE_MILLIS,
         /* unavailabilityThresholdMillis= */ 4_500,
         /* maxBackfillImpactMillis= */ 4_000,
-        maxEvacuationDelayMillis);
+        maxEvacuationDelayMillis,
+        /* maxConfigDelayMillis= */ Optional.empty());
   }
 }
