A whole table is read page by page, and failed pages alone are read again

What could happen to callers: after a takeover on a VM with a slow link, no accepted job starts, and moved VMs are not seen. Change: the rule TableRead. Pages that have been read are kept, a failed one is read again, and each failure halves how many are read at once. Only a silent long poll is replaced by a read of the whole list. Without failures the same reads are sent at the same times as before.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
@@ -2,22 +2,21 @@
 
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Optional;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
-import org.sassafraslink.api.fleet.RowStore.Range;
 import org.sassafraslink.api.fleet.RowStore.Rows;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
+import org.sassafraslink.api.fleet.TransferObserver;
 import org.sassafraslink.api.log.EventLog;
 
 /**
  * Reads all rows of jobs, then long-polls the store for changed ones, such as new submissions and
  * cancellations.
  *
- * <p>The partitions are read concurrently. Polling starts at the lowest version of these reads, so
- * that it also finds the changes made during them.
+ * <p>Polling starts at the lowest version of the full read, so that it also finds the changes made
+ * during it.
  */
 final class JobFeed {
   /** How long a long poll waits at the store for a change, in ms. */
@@ -42,18 +41,18 @@
   private final FleetClock clock;
   private final EventLog log;
   private final Listener listener;
-  private boolean callPending;
+  private boolean pollPending;
   private boolean loaded;
 
+  /** The full read under way. */
+  private Optional<TableRead> fullRead = Optional.empty();
+
   /** The version up to which all changes have been read; -1 if a full read is needed. */
   private long readVersion = -1;
 
   private long nextCallMillis;
 
-  /**
-   * Incremented by each reset and each start or failure of a full read; earlier responses are
-   * ignored.
-   */
+  /** Incremented by each reset; responses to earlier long polls are ignored. */
   private long generation;
 
   JobFeed(RowStore store, FleetClock clock, EventLog log, Listener listener) {
@@ -66,7 +65,9 @@
   /** Discards the state of the feed; the next call is a full read of all rows. */
   void reset() {
     generation++;
-    callPending = false;
+    pollPending = false;
+    fullRead.ifPresent(TableRead::abandon);
+    fullRead = Optional.empty();
     loaded = false;
     readVersion = -1;
     nextCallMillis = 0;
@@ -76,98 +77,70 @@
     return loaded;
   }
 
-  /** Starts a full read or the next long poll, unless a call is pending. */
+  /** Starts or continues a full read, or sends the next long poll, unless a call is pending. */
   void readIfDue(long nowMillis) {
-    if (callPending || nowMillis < nextCallMillis) {
+    if (pollPending || nowMillis < nextCallMillis) {
       return;
     }
-    callPending = true;
-    if (readVersion < 0) {
-      generation++;
-      ImmutableList<String> partitions = JobRows.partitions();
-      FullRead fullRead = new FullRead(generation, partitions.size());
-      partitions.forEach(partition -> readPartition(partition, "", fullRead));
+    if (readVersion >= 0) {
+      poll();
     } else {
-      long sentGeneration = generation;
-      store.readChanges(
-          JobRows.TABLE,
-          readVersion,
-          LONG_POLL_MILLIS,
-          result -> {
-            if (generation == sentGeneration) {
-              applyChanges(result);
-            }
-          });
+      if (fullRead.isEmpty()) {
+        fullRead =
+            Optional.of(
+                TableRead.create(
+                    store,
+                    JobRows.TABLE,
+                    JobRows.partitions(),
+                    TransferObserver.NONE,
+                    new FullReadListener()));
+      }
+      fullRead.get().sendDuePages();
     }
   }
 
-  /** A pending read of all partitions, and the rows that it has found so far. */
-  private static final class FullRead {
-    private final long generation;
-    private final List<StoredRow> rows = new ArrayList<>();
-    private int remainingPartitions;
-    private long lowestVersion = Long.MAX_VALUE;
-
-    FullRead(long generation, int partitions) {
-      this.generation = generation;
-      this.remainingPartitions = partitions;
-    }
-  }
-
-  private void readPartition(String partition, String fromKey, FullRead fullRead) {
-    store.read(
-        new Range(JobRows.TABLE, partition, fromKey, ""),
+  private void poll() {
+    pollPending = true;
+    long sentGeneration = generation;
+    store.readChanges(
+        JobRows.TABLE,
+        readVersion,
+        LONG_POLL_MILLIS,
         result -> {
-          if (generation != fullRead.generation) {
-            return;
-          }
-          if (result.isLeft()) {
-            // The full read starts again, so the responses of the other partitions are ignored.
-            generation++;
-            scheduleRetry(result.getLeft());
-            return;
-          }
-          Rows rows = result.get();
-          fullRead.rows.addAll(rows.rows());
-          fullRead.lowestVersion = Math.min(fullRead.lowestVersion, rows.version());
-          if (rows.hasMore() && !rows.rows().isEmpty()) {
-            StoredRow last = rows.rows().get(rows.rows().size() - 1);
-            // Appending '\0' gives the smallest key after the last one.
-            readPartition(partition, last.key().key() + '\0', fullRead);
-            return;
-          }
-          fullRead.remainingPartitions--;
-          if (fullRead.remainingPartitions == 0) {
-            applyFullRead(ImmutableList.copyOf(fullRead.rows), fullRead.lowestVersion);
+          if (generation == sentGeneration) {
+            pollPending = false;
+            applyChanges(result);
           }
         });
   }
 
-  private void applyFullRead(ImmutableList<StoredRow> rows, long lowestVersion) {
-    callPending = false;
-    readVersion = lowestVersion;
-    if (loaded) {
-      listener.onChanged(rows);
-    } else {
-      loaded = true;
-      listener.onLoaded(rows);
+  private final class FullReadListener implements TableRead.Listener {
+    @Override
+    public void onPageFailed(CallFailure failure) {
+      nextCallMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
+    }
+
+    @Override
+    public void onComplete(ImmutableList<StoredRow> rows, long version) {
+      fullRead = Optional.empty();
+      readVersion = version;
+      if (loaded) {
+        listener.onChanged(rows);
+      } else {
+        loaded = true;
+        listener.onLoaded(rows);
+      }
     }
   }
 
   private void applyChanges(Either<CallFailure, Rows> result) {
-    if (result.isLeft()) {
-      scheduleRetry(result.getLeft());
+    if (result.isRight()) {
+      readVersion = result.get().version();
+      listener.onChanged(result.get().rows());
       return;
     }
-    callPending = false;
-    readVersion = result.get().version();
-    listener.onChanged(result.get().rows());
-  }
-
-  private void scheduleRetry(CallFailure failure) {
-    callPending = false;
     nextCallMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
-    if (failure == CallFailure.HISTORY_DISCARDED) {
+    if (result.getLeft() == CallFailure.HISTORY_DISCARDED) {
       log.log("jobs.history_discarded", "after", readVersion);
       readVersion = -1;
     }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerListFeed.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerListFeed.java
@@ -2,14 +2,13 @@
 
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Optional;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
-import org.sassafraslink.api.fleet.RowStore.Range;
 import org.sassafraslink.api.fleet.RowStore.Rows;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
+import org.sassafraslink.api.fleet.TransferObserver;
 import org.sassafraslink.api.log.EventLog;
 
 /** Reads the platform's list of workers, then long-polls the store for its changes. */
@@ -41,17 +40,20 @@
   private final String table;
   private final Listener listener;
 
-  private boolean readPending;
+  private boolean pollPending;
 
-  /** When the pending read was sent, monotonic ms. */
-  private long readSentMillis;
+  /** When the pending long poll was sent, monotonic ms. */
+  private long pollSentMillis;
+
+  /** The read of the whole list that is under way. */
+  private Optional<TableRead> wholeListRead = Optional.empty();
 
   /** Version of the store up to which the list has been read; -1 before the first read. */
   private long readVersion = -1;
 
   private long nextReadMillis;
 
-  /** Incremented by each reset and each replaced poll; responses from before it are ignored. */
+  /** Incremented by each reset and each replaced poll; responses to earlier polls are ignored. */
   private long generation;
 
   WorkerListFeed(RowStore store, FleetClock clock, EventLog log, String table, Listener listener) {
@@ -65,7 +67,9 @@
   /** Discards the state of the feed; the next call is a read of the whole list. */
   void reset() {
     generation++;
-    readPending = false;
+    pollPending = false;
+    wholeListRead.ifPresent(TableRead::abandon);
+    wholeListRead = Optional.empty();
     readVersion = -1;
     nextReadMillis = 0;
   }
@@ -82,23 +86,24 @@
    *     then replaced by a read of the whole list
    */
   void pollIfDue(long nowMillis, boolean isChangeOverdue) {
-    boolean isSilent = readPending && nowMillis - readSentMillis >= MAX_SILENCE_MILLIS;
-    if (isSilent && isChangeOverdue && isLoaded()) {
+    boolean isSilent = pollPending && nowMillis - pollSentMillis >= MAX_SILENCE_MILLIS;
+    if (isSilent && isChangeOverdue) {
       // The response to the long poll is ignored.
       generation++;
-      readWholeList(nowMillis);
-    } else if (!readPending && nowMillis >= nextReadMillis) {
-      if (isLoaded()) {
+      pollPending = false;
+      readWholeList();
+    } else if (!pollPending && nowMillis >= nextReadMillis) {
+      if (isLoaded() && wholeListRead.isEmpty()) {
         readChanges(nowMillis);
       } else {
-        readWholeList(nowMillis);
+        readWholeList();
       }
     }
   }
 
   private void readChanges(long nowMillis) {
-    readPending = true;
-    readSentMillis = nowMillis;
+    pollPending = true;
+    pollSentMillis = nowMillis;
     long sentGeneration = generation;
     store.readChanges(
         table,
@@ -106,7 +111,7 @@
         LONG_POLL_MILLIS,
         response -> {
           if (generation == sentGeneration) {
-            readPending = false;
+            pollPending = false;
             applyChanges(response);
           }
         });
@@ -123,47 +128,37 @@
     nextReadMillis = now + RETRY_DELAY_MILLIS;
     if (response.getLeft() == CallFailure.HISTORY_DISCARDED) {
       log.log("workers.history_discarded", "after", readVersion);
-      readWholeList(now);
+      readWholeList();
     }
   }
 
-  private void readWholeList(long nowMillis) {
-    readPending = true;
-    readSentMillis = nowMillis;
-    readPage("", new ArrayList<>(), Long.MAX_VALUE, generation);
+  /** Starts a read of the whole list, or continues the one that is under way. */
+  private void readWholeList() {
+    if (wholeListRead.isEmpty()) {
+      wholeListRead =
+          Optional.of(
+              TableRead.create(
+                  store,
+                  table,
+                  ImmutableList.of(""),
+                  TransferObserver.NONE,
+                  new WholeListListener()));
+    }
+    wholeListRead.get().sendDuePages();
   }
 
-  /**
-   * Reads the rows from {@code fromKey} on.
-   *
-   * @param lowestVersion the lowest version of the pages before, from which on changes are read
-   *     later: a row of an earlier page may change before a later page is read
-   */
-  private void readPage(
-      String fromKey, List<StoredRow> rowsSoFar, long lowestVersion, long sentGeneration) {
-    store.read(
-        new Range(table, "", fromKey, ""),
-        response -> {
-          if (generation != sentGeneration) {
-            return;
-          }
-          if (response.isLeft()) {
-            readPending = false;
-            nextReadMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
-            return;
-          }
-          Rows page = response.get();
-          rowsSoFar.addAll(page.rows());
-          long version = Math.min(lowestVersion, page.version());
-          if (page.hasMore() && !page.rows().isEmpty()) {
-            StoredRow last = rowsSoFar.get(rowsSoFar.size() - 1);
-            readPage(last.key().key() + '\0', rowsSoFar, version, sentGeneration);
-            return;
-          }
-          readPending = false;
-          readVersion = version;
-          nextReadMillis = clock.monotonicMillis() + MIN_POLL_INTERVAL_MILLIS;
-          listener.onWholeList(ImmutableList.copyOf(rowsSoFar));
-        });
+  private final class WholeListListener implements TableRead.Listener {
+    @Override
+    public void onPageFailed(CallFailure failure) {
+      nextReadMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
+    }
+
+    @Override
+    public void onComplete(ImmutableList<StoredRow> rows, long version) {
+      wholeListRead = Optional.empty();
+      readVersion = version;
+      nextReadMillis = clock.monotonicMillis() + MIN_POLL_INTERVAL_MILLIS;
+      listener.onWholeList(rows);
+    }
   }
 }
