--- a/api/src/main/java/org/sassafraslink/api/fleet/CallFailure.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/CallFailure.java
@@ -10,6 +10,8 @@
   HISTORY_DISCARDED,
   /** The answer could not be decoded. */
   UNREADABLE,
+  /** The answer is larger than this process accepts. */
+  TOO_LARGE,
   /** A different incarnation of the worker now uses the address. */
   WRONG_INCARNATION,
   /** The receiver rejected the call as invalid; it had no effect. */
--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
@@ -1,7 +1,6 @@
 package org.sassafraslink.entry.process;
 
 import com.google.common.collect.ImmutableList;
-import io.vavr.control.Either;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -11,7 +10,6 @@
 import org.sassafraslink.api.fleet.Evacuations;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
-import org.sassafraslink.api.fleet.RowStore.Range;
 import org.sassafraslink.api.fleet.RowStore.Rows;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.Wave;
@@ -19,6 +17,7 @@
 import org.sassafraslink.platform.fleet.OperatorRows;
 import org.sassafraslink.rules.version.ConfigReading;
 import org.sassafraslink.scheduler.ResponseTrackingRowStore;
+import org.sassafraslink.scheduler.TableRead;
 
 /**
  * Reads the operator's rows from the store with long polls and reports new versions of the
@@ -36,6 +35,9 @@
   /** Pause between a failed read and the next one, in ms, unless it is the first that fails. */
   private static final int RETRY_PAUSE_MILLIS = 100;
 
+  /** Pause after a response that was too large, in ms. */
+  private static final int TOO_LARGE_PAUSE_MILLIS = 1_000;
+
   /**
    * Part of the bound on the application of a change that a transfer may take before it is logged
    * as slow. A change that is made during the transfer of another one waits for both.
@@ -63,6 +65,9 @@
   /** The pending read, or the last one. */
   private ReadProgress readProgress = ReadProgress.begin(0);
 
+  /** The read of the whole table that is under way. */
+  private Optional<TableRead> wholeTableRead = Optional.empty();
+
   private ConfigReading reading = ConfigReading.begin(0);
   private ConfigReading.State loggedState = ConfigReading.State.CURRENT;
 
@@ -183,7 +188,7 @@
     long sentMillis = clock.monotonicMillis();
     readProgress = ReadProgress.begin(sentMillis);
     if (readUpToVersion < 0) {
-      readPage("", ImmutableList.of(), Long.MAX_VALUE, sentMillis);
+      readWholeTable(sentMillis);
     } else {
       // After a failure the poll returns at once, to detect early that the store is reachable
       // again.
@@ -193,39 +198,37 @@
           readUpToVersion,
           waitMillis,
           this::recordReceived,
-          result -> applyReadResult(result, false, sentMillis));
+          result ->
+              result
+                  .peek(changes -> applyChanges(changes, sentMillis))
+                  .peekLeft(this::applyReadFailure));
     }
   }
 
-  /**
-   * Reads the rows of the whole table from {@code fromKey} on.
-   *
-   * @param rowsSoFar the rows of the pages before
-   * @param lowestVersion the lowest version of the pages before, from which on changes are read
-   *     later: a row of an earlier page may change before a later page is read
-   * @param sentMillis when the first page was requested, monotonic ms
-   */
-  private void readPage(
-      String fromKey, ImmutableList<StoredRow> rowsSoFar, long lowestVersion, long sentMillis) {
-    store.read(
-        new Range(OperatorRows.TABLE, "", fromKey, ""),
-        this::recordReceived,
-        result -> {
-          if (result.isLeft()) {
-            applyReadResult(result, true, sentMillis);
-            return;
-          }
-          Rows page = result.get();
-          ImmutableList<StoredRow> rows =
-              ImmutableList.<StoredRow>builder().addAll(rowsSoFar).addAll(page.rows()).build();
-          long version = Math.min(lowestVersion, page.version());
-          if (page.hasMore() && !page.rows().isEmpty()) {
-            String lastKey = rows.get(rows.size() - 1).key().key();
-            readPage(lastKey + '\0', rows, version, sentMillis);
-          } else {
-            applyReadResult(Either.right(new Rows(rows, false, version)), true, sentMillis);
-          }
-        });
+  /** Starts a read of the whole table, or continues the one that is under way. */
+  private void readWholeTable(long nowMillis) {
+    if (wholeTableRead.isEmpty()) {
+      wholeTableRead =
+          Optional.of(
+              TableRead.create(
+                  store,
+                  OperatorRows.TABLE,
+                  ImmutableList.of(""),
+                  this::recordReceived,
+                  new TableRead.Listener() {
+                    @Override
+                    public void onPageFailed(CallFailure failure) {
+                      applyReadFailure(failure);
+                    }
+
+                    @Override
+                    public void onComplete(ImmutableList<StoredRow> rows, long version) {
+                      wholeTableRead = Optional.empty();
+                      applyWholeTable(rows, version, nowMillis);
+                    }
+                  }));
+    }
+    wholeTableRead.get().sendDuePages();
   }
 
   private void recordReceived(long receivedBytes, long expectedBytes) {
@@ -253,13 +256,17 @@
         storeSilenceMillis(nowMillis));
   }
 
-  private void applyReadFailure(CallFailure failure, long nowMillis) {
+  private void applyReadFailure(CallFailure failure) {
+    long nowMillis = clock.monotonicMillis();
+    logReadFailure(failure, nowMillis);
     if (failure == CallFailure.HISTORY_DISCARDED) {
-      // The store has answered, and changes may exist.
       log.log("config.history_discarded", "after", readUpToVersion);
       readUpToVersion = -1;
+    }
+    if (failure == CallFailure.HISTORY_DISCARDED || failure == CallFailure.TOO_LARGE) {
+      // The store has answered, and changes may exist.
       reading = reading.recordChangeArriving();
-      timer.accept(this::readNext, 0);
+      timer.accept(this::readNext, failure == CallFailure.TOO_LARGE ? TOO_LARGE_PAUSE_MILLIS : 0);
       return;
     }
     if (!readsFailing) {
@@ -286,36 +293,44 @@
                     bound));
   }
 
-  private void applyReadResult(
-      Either<CallFailure, Rows> result, boolean isWholeTable, long sentMillis) {
-    long nowMillis = clock.monotonicMillis();
-    if (result.isLeft()) {
-      logReadFailure(result.getLeft(), nowMillis);
-      applyReadFailure(result.getLeft(), nowMillis);
-      return;
-    }
+  private void applyChanges(Rows changes, long sentMillis) {
+    recordSuccess(readProgress.asOfMillis(clock.monotonicMillis()), changes.version());
+    applyRows(changes.rows());
+    changes.rows().forEach(evacuationRows::apply);
+    reportEvacuationsAndReadNext(sentMillis);
+  }
+
+  private void applyWholeTable(ImmutableList<StoredRow> rows, long version, long sentMillis) {
+    recordSuccess(sentMillis, version);
+    applyRows(rows);
+    evacuationRows.applyWholeTable(rows);
+    reportEvacuationsAndReadNext(sentMillis);
+  }
+
+  private void recordSuccess(long asOfMillis, long version) {
     if (readsFailing) {
       readsFailing = false;
-      log.log("store.regained", "after", millisSinceVerified(nowMillis));
+      log.log("store.regained", "after", millisSinceVerified(clock.monotonicMillis()));
     }
     logSlowTransfer();
-    reading = reading.recordSuccess(readProgress.asOfMillis(nowMillis));
-    readUpToVersion = result.get().version();
+    reading = reading.recordSuccess(asOfMillis);
+    readUpToVersion = version;
+  }
+
+  private void applyRows(ImmutableList<StoredRow> rows) {
     boolean wavesChanged = false;
-    for (StoredRow row : result.get().rows()) {
+    for (StoredRow row : rows) {
       // The configuration and the waves that were read last stay in use after a deletion.
       if (!row.deleted()) {
         wavesChanged |= applyRow(row);
       }
     }
-    if (isWholeTable) {
-      evacuationRows.applyWholeTable(result.get().rows());
-    } else {
-      result.get().rows().forEach(evacuationRows::apply);
-    }
     if (wavesChanged) {
       onWaves.accept(ImmutableList.copyOf(waveByNumber.values()));
     }
+  }
+
+  private void reportEvacuationsAndReadNext(long sentMillis) {
     onEvacuations.accept(evacuationRows.toEvacuations(sentMillis));
     readNext();
   }
--- a/entry/src/test/java/org/sassafraslink/entry/crowd/EntryProcess.java
+++ b/entry/src/test/java/org/sassafraslink/entry/crowd/EntryProcess.java
@@ -14,12 +14,15 @@
 import java.util.stream.Stream;
 import org.sassafraslink.platform.fleet.NodeSettingsFile;
 
-/** A process with the entry daemon, with little memory and few descriptors. */
-final class EntryProcess {
+/** A process with the entry daemon, with few descriptors. */
+public final class EntryProcess {
   /** The smallest machine has 330 MB for a heap of 96 MB; these processes have less of both. */
   private static final int HEAP_MB = 32;
 
-  static final int MACHINE_MB = 330 - (96 - HEAP_MB);
+  /** The heap of the processes on the smallest machine. */
+  public static final int USUAL_HEAP_MB = 96;
+
+  static final int MACHINE_MB = machineMegabytes(HEAP_MB);
 
   /** The operating system's limit on the descriptors of the process. */
   static final int MAX_DESCRIPTORS = 600;
@@ -40,11 +43,16 @@
     this.callerAddress = callerAddress;
   }
 
-  /** Starts a process that uses the store at {@code storePort}, and waits until it is ready. */
+  /** Starts a process with little memory. */
   static EntryProcess start(Path folder, int storePort) throws Exception {
+    return start(folder, storePort, HEAP_MB);
+  }
+
+  /** Starts a process that uses the store at {@code storePort}, and waits until it is ready. */
+  public static EntryProcess start(Path folder, int storePort, int heapMegabytes) throws Exception {
     int[] ports = freePorts();
     Path settings = folder.resolve("node.toml");
-    Files.writeString(settings, settings(ports, storePort));
+    Files.writeString(settings, settings(ports, storePort, machineMegabytes(heapMegabytes)));
     Path output = folder.resolve("output");
     List<String> command =
         List.of(
@@ -53,7 +61,7 @@
             "ulimit -n " + MAX_DESCRIPTORS + " && exec \"$@\"",
             "sh",
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx" + HEAP_MB + "m",
+            "-Xmx" + heapMegabytes + "m",
             "-Xss256k",
             "-XX:+UseSerialGC",
             // Otherwise a lack of memory closes some connection and may go unnoticed.
@@ -80,6 +88,10 @@
     }
   }
 
+  private static int machineMegabytes(int heapMegabytes) {
+    return 330 - (USUAL_HEAP_MB - heapMegabytes);
+  }
+
   private static int[] freePorts() throws IOException {
     ServerSocket[] sockets = new ServerSocket[SERVERS];
     int[] ports = new int[SERVERS];
@@ -93,7 +105,7 @@
     return ports;
   }
 
-  private static String settings(int[] ports, int storePort) {
+  private static String settings(int[] ports, int storePort, int machineMegabytes) {
     return String.format(
         Locale.ROOT,
         """
@@ -131,7 +143,7 @@
         ports[3],
         storePort,
         MAX_DESCRIPTORS,
-        MACHINE_MB);
+        machineMegabytes);
   }
 
   private void waitUntilReady() throws Exception {
@@ -155,14 +167,28 @@
     return callerAddress;
   }
 
-  boolean isAlive() {
+  public boolean isAlive() {
     return process.isAlive();
   }
 
   /** Returns the resident memory of the process, in MB. */
   long residentMegabytes() throws IOException {
+    return statusMegabytes("VmRSS:");
+  }
+
+  /** Returns the highest resident memory of the process so far, in MB. */
+  public long peakMegabytes() throws IOException {
+    return statusMegabytes("VmHWM:");
+  }
+
+  /** Returns the processor time that the process has used, in ms. */
+  public long processorMillis() {
+    return process.info().totalCpuDuration().orElseThrow().toMillis();
+  }
+
+  private long statusMegabytes(String field) throws IOException {
     for (String line : Files.readAllLines(procFolder().resolve("status"))) {
-      if (line.startsWith("VmRSS:")) {
+      if (line.startsWith(field)) {
         return Long.parseLong(line.replaceAll("\\D", "")) / 1_024;
       }
     }
@@ -180,7 +206,7 @@
   }
 
   /** Submits a small job on a new connection and returns the status code of the response. */
-  String ordinaryRequestStatus() throws IOException {
+  public String ordinaryRequestStatus() throws IOException {
     try (Socket socket = new Socket()) {
       socket.setSoTimeout(HANG_SECONDS * 1_000);
       socket.connect(callerAddress, HANG_SECONDS * 1_000);
@@ -193,13 +219,18 @@
     }
   }
 
+  /** Returns the lines that the process has written which contain a text. */
+  public List<String> outputWith(String text) throws IOException {
+    return Files.readAllLines(output).stream().filter(line -> line.contains(text)).toList();
+  }
+
   /** Returns the last lines that the process has written. */
-  String outputTail() throws IOException {
+  public String outputTail() throws IOException {
     List<String> lines = Files.readAllLines(output);
     return String.join("\n", lines.subList(Math.max(0, lines.size() - 12), lines.size()));
   }
 
-  void stop() throws InterruptedException {
+  public void stop() throws InterruptedException {
     process.destroyForcibly();
     process.waitFor();
   }
--- a/entry/src/test/java/org/sassafraslink/entry/link/LinkedStoreStandIn.java
+++ b/entry/src/test/java/org/sassafraslink/entry/link/LinkedStoreStandIn.java
@@ -40,6 +40,12 @@
   private static final int STATUS_OK = 200;
   private static final int STATUS_GONE = 410;
   private static final long NANOS_PER_SECOND = 1_000_000_000;
+
+  /** The queue to which {@code EntryProcess} submits jobs. */
+  private static final String OPEN_QUEUE =
+      "{\"name\":\"q\",\"host\":\"q.example\",\"pathPrefix\":\"/q/\",\"service\":\"s\",\"public\":true,"
+          + "\"maxAttempts\":3}";
+
   private static final Pattern WAIT_MILLIS = Pattern.compile("waitMs=(\\d+)");
   private static final Pattern AFTER = Pattern.compile("after=(\\d+)");
 
@@ -130,18 +136,18 @@
   }
 
   private static String configOfSize(long version, int minBytes) {
-    StringBuilder text = new StringBuilder("{\"version\":").append(version).append(",\"routes\":[");
-    for (int i = 0; text.length() * 4 / 3 < minBytes; i++) {
-      text.append(i == 0 ? "" : ",")
-          .append("{\"name\":\"r-")
+    StringBuilder text = new StringBuilder("{\"version\":").append(version);
+    text.append(",\"routes\":[").append(OPEN_QUEUE);
+    for (int i = 0; text.length() * 4L / 3 < minBytes; i++) {
+      text.append(",{\"name\":\"r-")
           .append(i)
           .append("\",\"host\":\"pule25.example\",\"pathPrefix\":\"/puxa")
           .append(i)
           .append("/\",\"kind\":\"non_idempotent\",\"timeoutMs\":3006,\"targetLatencyMs\":601,")
-          .append("\"priority\":0,\"service\":\"kafi81c\",\"maxAttempts\":3,\"slackFactor\":1.6,")
+          .append("\"priority\":0,\"service\":\"s\",\"maxAttempts\":3,\"slackFactor\":1.6,")
           .append("\"public\":false}");
     }
-    return text.append("],\"services\":[{\"name\":\"kafi81c\"}],\"tenants\":[]}").toString();
+    return text.append("],\"services\":[{\"name\":\"s\"}],\"tenants\":[]}").toString();
   }
 
   private void handle(HttpExchange exchange) throws IOException {
@@ -151,10 +157,13 @@
     try {
       boolean isChangeRead = path.equals("/rows-feed");
       long after = isChangeRead ? number(AFTER, query) : -1;
-      boolean hasChanged =
-          query.contains("table=op")
-              && (!isChangeRead || awaitChange(after, number(WAIT_MILLIS, query)));
-      respond(exchange, isChangeRead && isDiscarded(after), hasChanged);
+      boolean isAboutConfig = query.contains("table=op&");
+      if (isChangeRead) {
+        // Only the configuration changes.
+        awaitChange(isAboutConfig ? after : Long.MAX_VALUE, number(WAIT_MILLIS, query));
+      }
+      boolean hasConfig = isAboutConfig && (!isChangeRead || hasChanged(after));
+      respond(exchange, isAboutConfig && isChangeRead && isDiscarded(after), hasConfig);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
@@ -171,15 +180,17 @@
     return after >= 0 && after < discardedVersion;
   }
 
-  private synchronized boolean awaitChange(long after, long waitMillis)
-      throws InterruptedException {
+  private synchronized boolean hasChanged(long after) {
+    return version > after;
+  }
+
+  private synchronized void awaitChange(long after, long waitMillis) throws InterruptedException {
     long endNanos = System.nanoTime() + waitMillis * 1_000_000;
     long remainingMillis = waitMillis;
-    while (version <= after && remainingMillis > 0) {
+    while (!hasChanged(after) && remainingMillis > 0) {
       wait(remainingMillis);
       remainingMillis = (endNanos - System.nanoTime()) / 1_000_000;
     }
-    return version > after;
   }
 
   private void respond(HttpExchange exchange, boolean isDiscarded, boolean hasConfig)
@@ -197,7 +208,7 @@
                   + "\"}]"
               : "[]";
       body =
-          ("{\"schemaVersion\":" + version + ",\"nowMs\":1,\"rows\":" + rows + "}")
+          ("{\"schemaVersion\":" + version + ",\"nowMs\":1,\"rows\":" + rows + ",\"machines\":[]}")
               .getBytes(StandardCharsets.UTF_8);
       fault = body.length < MIN_FAULTY_BYTES || isDiscarded ? null : faults.poll();
     }
