--- a/entry/src/test/java/org/sassafraslink/entry/link/LinkedStoreStandIn.java
+++ b/entry/src/test/java/org/sassafraslink/entry/link/LinkedStoreStandIn.java
@@ -126,6 +126,11 @@
     faults.add(fault);
   }
 
+  /** Lets no further response fail. */
+  synchronized void clearFaults() {
+    faults.clear();
+  }
+
   /** Returns when the fault was applied, as of {@link System#nanoTime}. */
   long appliedNanos(Fault fault) {
     return appliedNanosByFault.get(fault);
--- a/entry/src/test/java/org/sassafraslink/entry/link/WatchingNode.java
+++ b/entry/src/test/java/org/sassafraslink/entry/link/WatchingNode.java
@@ -47,6 +47,7 @@
   private final EventLoop eventLoop = eventLoopGroup.next();
   private final FleetClock clock = new MonotonicClock();
   private final NavigableMap<Long, Long> inForceNanosByVersion = new ConcurrentSkipListMap<>();
+  private final List<Long> inForceVersions = new CopyOnWriteArrayList<>();
   private final List<LogLine> logLines = new CopyOnWriteArrayList<>();
   private final ConfigWatcher watcher;
 
@@ -72,6 +73,7 @@
   }
 
   private void recordInForce(FleetSettings settings) {
+    inForceVersions.add(settings.version());
     inForceNanosByVersion.put(settings.version(), System.nanoTime());
   }
 
@@ -81,6 +83,11 @@
         .map(entry -> entry.getValue());
   }
 
+  /** Returns the versions that were in force, in their order. */
+  List<Long> inForceVersions() {
+    return inForceVersions;
+  }
+
   /** Waits until the version or a later one is in force; returns false after {@code millis}. */
   boolean awaitInForce(long version, long millis) throws InterruptedException {
     return await(() -> inForceNanos(version).isPresent(), millis);
