Callers are answered while a newer configuration arrives

Cause: no test showed what callers get in each state of the configuration. Change: a test of the answers to a known and to an unknown key.

--- a/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/request/JobRequestHandlerTest.java
@@ -12,13 +12,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.TransferObserver;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.entry.process.ConfigWatcher;
 import org.sassafraslink.scheduler.JobRows;
@@ -27,7 +31,8 @@
 
 /**
  * Guards against a wrong state, or a cancellation that the scheduler does not see, for a job whose
- * decision rows are in the main partition because a previous version accepted it.
+ * decision rows are in the main partition because a previous version accepted it, and against wrong
+ * answers while a newer configuration arrives.
  */
 class JobRequestHandlerTest {
   private static final String JOB_ID = "00000000000000a7";
@@ -37,11 +42,20 @@
           + "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"weight\":1}]}";
   private static final String ROW = "{\"partitioned\":true,\"queue\":\"r\"}";
   private static final String ROW_OF_PREVIOUS_VERSION = "{\"queue\":\"r\",\"service\":\"s\"}";
+
+  /** The bound on the time from a change of the configuration to its application. */
+  private static final long MAX_CONFIG_DELAY_MILLIS = 3_000;
+
   private static final String DECISION_PARTITION = JobRows.decisionPartition(JOB_ID);
 
   private final Map<RowStore.RowKey, RowStore.StoredRow> rows = new LinkedHashMap<>();
   private final List<RowStore.Range> reads = new ArrayList<>();
   private final List<CallerResponse> responses = new ArrayList<>();
+  private long nowMillis = 10_000;
+
+  /** Receives the progress of the read of changes of the configuration. */
+  private TransferObserver changesObserver = TransferObserver.NONE;
+
   private JobRequestHandler handler;
 
   /** A store that executes each call at once, except for reads of changes. */
@@ -85,17 +99,27 @@
     @Override
     public void readChanges(
         String table, long version, int waitMillis, Consumer<Either<CallFailure, Rows>> callback) {}
+
+    @Override
+    public void readChanges(
+        String table,
+        long version,
+        int waitMillis,
+        TransferObserver observer,
+        Consumer<Either<CallFailure, Rows>> callback) {
+      changesObserver = observer;
+    }
   }
 
-  private static final class TestClock implements FleetClock {
+  private final class TestClock implements FleetClock {
     @Override
     public long monotonicMillis() {
-      return 10_000;
+      return nowMillis;
     }
 
     @Override
     public long wallMillis() {
-      return 10_000;
+      return nowMillis;
     }
   }
 
@@ -125,7 +149,7 @@
             new TestClock(),
             EventLog.silent(),
             (task, millis) -> {},
-            /* maxDelayMillis= */ Optional.empty(),
+            Optional.of(MAX_CONFIG_DELAY_MILLIS),
             settings -> {},
             waves -> {},
             evacuations -> {});
@@ -145,8 +169,12 @@
   }
 
   private CallerResponse request(String method) {
+    return request(method, "k");
+  }
+
+  private CallerResponse request(String method, String key) {
     handler.handleRequest(
-        new CallerRequest(method, "h", "/p/" + JOB_ID, "k", "", /* deadlineMillis= */ 20_000),
+        new CallerRequest(method, "h", "/p/" + JOB_ID, key, "", /* deadlineMillis= */ 20_000),
         responses::add);
     return responses.get(responses.size() - 1);
   }
@@ -196,4 +224,26 @@
     assertFalse(rows.containsKey(mainKey(Kind.CANCELLATION)));
     assertFalse(rows.containsKey(JobRows.key(JOB_ID, Kind.CANCELLATION)));
   }
+
+  static Stream<Arguments> arrivals() {
+    return Stream.of(
+        Arguments.of("current", 0, 0, "401", "200"),
+        Arguments.of("a newer version arrives", 1_000, 1_000, "401", "200"),
+        Arguments.of("it arrives for longer than the bound", 3_001, 1_000, "503", "200"),
+        Arguments.of("nothing arrives any more", 3_001, 0, "503", "200"));
+  }
+
+  /** Guards against refusals because of a read that is under way. */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("arrivals")
+  void callersAreAnsweredWhileANewerVersionArrives(
+      String name, int passedMillis, int lastBytes, String unknownKey, String knownKey) {
+    storeSubmission(ROW);
+    nowMillis += passedMillis;
+    if (lastBytes > 0) {
+      changesObserver.onReceived(lastBytes, 1_000_000);
+    }
+    assertEquals(unknownKey, String.valueOf(request("GET", "other").status()), name);
+    assertEquals(knownKey, String.valueOf(request("GET", "k").status()), name);
+  }
 }
