How a response is received, and the waves of the operator's rows, in classes of their own

Change: Reception and WaveRows; no decision changes. Result: tests of the client, the watcher and the slow link pass.

--- a/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ConfigWatcher.java
@@ -1,9 +1,7 @@
 package org.sassafraslink.entry.process;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
@@ -53,9 +51,7 @@
   private final Consumer<ImmutableList<Wave>> onWaves;
   private final Consumer<Evacuations> onEvacuations;
   private final EvacuationRows evacuationRows;
-
-  /** All waves that have been read, by their number. */
-  private final Map<Long, Wave> waveByNumber = new TreeMap<>();
+  private final WaveRows waveRows;
 
   private Optional<FleetSettings> newestConfig = Optional.empty();
 
@@ -92,6 +88,7 @@
     this.onWaves = onWaves;
     this.onEvacuations = onEvacuations;
     this.evacuationRows = new EvacuationRows(log);
+    this.waveRows = new WaveRows(log);
   }
 
   /**
@@ -326,7 +323,7 @@
       }
     }
     if (wavesChanged) {
-      onWaves.accept(ImmutableList.copyOf(waveByNumber.values()));
+      onWaves.accept(waveRows.toWaves());
     }
   }
 
@@ -344,7 +341,7 @@
       if (OperatorRows.isConfig(row)) {
         applyConfig(row);
       }
-      return OperatorRows.isWave(row) && recordWave(row);
+      return waveRows.apply(row);
     } catch (RuntimeException e) {
       log.log("config.row_failure", "row", row.key().key(), "error", e);
       return false;
@@ -396,15 +393,4 @@
         readProgress.millisSinceLastByte(clock.monotonicMillis()));
     onConfig.accept(decodedConfig.get());
   }
-
-  /** Records the wave in a row; returns false if the row is malformed. */
-  private boolean recordWave(StoredRow row) {
-    Optional<Wave> wave = OperatorRows.decodeWave(row);
-    if (wave.isEmpty()) {
-      log.log("wave.unreadable", "row", row.key().key());
-      return false;
-    }
-    waveByNumber.put(wave.get().number(), wave.get());
-    return true;
-  }
 }
