--- a/review/standins-2/src/Minion.java
+++ b/review/standins-2/src/Minion.java
@@ -62,6 +62,9 @@
   private int sequence;
   private int port;
 
+  /** Whether it has lost power: it answers nothing, and nothing runs on it. */
+  private volatile boolean dark;
+
   Minion(String id, String machine, String rack, Recorder recorder, List<Start> starts, Work work) {
     this.id = id;
     this.machine = machine;
@@ -94,6 +97,17 @@
     return id;
   }
 
+  /** Ends this life of the worker: no call gets an answer any more. */
+  synchronized void losePower() {
+    dark = true;
+    running.clear();
+    recorder.write("minion " + id + " loses power");
+  }
+
+  boolean isDark() {
+    return dark;
+  }
+
   /** Returns the entry that the worker writes to the store. */
   synchronized String entry(String service, String zone) {
     sequence++;
@@ -152,6 +166,9 @@
   private void handle(HttpExchange exchange) throws Exception {
     String expected = exchange.getRequestHeaders().getFirst("X-Sassafraslink-Expected-Instance");
     byte[] bytes = exchange.getRequestBody().readAllBytes();
+    if (dark) {
+      return; // The exchange stays open without an answer.
+    }
     if (expected != null && !expected.equals(id)) {
       Http.respond(exchange, 421, clockBody());
       return;
--- a/review/standins-2/src/Store.java
+++ b/review/standins-2/src/Store.java
@@ -123,6 +123,13 @@
     notifyAll();
   }
 
+  /** Removes a row, as the platform does with the entry of a worker that has been silent. */
+  synchronized void remove(String table, String key) {
+    version++;
+    store(new Row(new Key(table, "", key), "", version, true));
+    notifyAll();
+  }
+
   private void store(Row row) {
     if (row.deleted()) {
       rows.remove(row.key());
--- a/review/standins-2/src/World.java
+++ b/review/standins-2/src/World.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A small deployment: the store, the machines' API, workers, and entry daemons as processes. */
 final class World implements AutoCloseable {
@@ -21,7 +22,7 @@
   final List<Minion.Start> starts = Collections.synchronizedList(new ArrayList<>());
   private final Path repository;
   private final Path temporary;
-  private final List<Minion> minions = new ArrayList<>();
+  private final List<Minion> minions = new CopyOnWriteArrayList<>();
   private final List<Process> daemons = new ArrayList<>();
   private final List<Integer> frontends = new ArrayList<>();
   private final List<Integer> readiness = new ArrayList<>();
@@ -94,10 +95,8 @@
     tenant.putArray("apiKeys").add(API_KEY);
     tenant.putObject("cap").put("cpu", 529170).put("memMb", 879646).put("gpu", 0);
     store.put("op", "config", config.toString());
-    for (int i = 1; i <= minionCount; i++) {
-      Minion minion = new Minion("i-0000000" + i, "m-0000" + i, "r1-" + i, recorder, starts, work);
-      minion.start();
-      minions.add(minion);
+    for (int i = 0; i < minionCount; i++) {
+      addMinion(work);
     }
     Thread heartbeats =
         new Thread(
@@ -105,7 +104,11 @@
               try {
                 while (true) {
                   // A worker's heartbeat waits while the store gives no answers.
-                  minions.forEach(minion -> store.put("servers", minion.id(), minion.entry(SERVICE, ZONE)));
+                  for (Minion minion : minions) {
+                    if (!minion.isDark()) {
+                      store.put("servers", minion.id(), minion.entry(SERVICE, ZONE));
+                    }
+                  }
                   Thread.sleep(HEARTBEAT_MILLIS);
                 }
               } catch (InterruptedException e) {
@@ -116,6 +119,20 @@
     heartbeats.start();
   }
 
+  /** Starts a worker on a machine of its own. */
+  Minion addMinion(Minion.Work work) throws Exception {
+    int number = minions.size() + 1;
+    Minion minion =
+        new Minion("i-0000000" + number, "m-0000" + number, "r1-" + number, recorder, starts, work);
+    minion.start();
+    minions.add(minion);
+    return minion;
+  }
+
+  Minion minion(int number) {
+    return minions.get(number);
+  }
+
   /** Starts an entry daemon with the command of the deploy file, and returns its number. */
   int startDaemon() throws Exception {
     int number = daemons.size();
