--- a/review/standins-2/src/World.java
+++ b/review/standins-2/src/World.java
@@ -52,6 +52,10 @@
     try (World world = new World(Path.of(args[0]), temporary, Path.of(args[1]))) {
       exitCode = play.run(world);
       world.recorder.write("exit code " + exitCode);
+    } catch (Exception e) {
+      // Java would exit with 1, which means that the rule was broken.
+      e.printStackTrace();
+      exitCode = 2;
     }
     if (System.getenv("KEEP_LOGS") == null) {
       for (File file : temporary.toFile().listFiles()) {
