--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-javac -d target/review-2 -cp "target/entry/*" review/standins-2/src/*.java
+javac --release 17 -d target/review-2 -cp "target/entry/*" review/standins-2/src/*.java
--- a/review/standins-2/src/Minion.java
+++ b/review/standins-2/src/Minion.java
@@ -2,6 +2,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,6 +31,9 @@
     }
   }
 
+  /** The end of a run. */
+  record End(double seconds, String task, int attempt, String how) {}
+
   /** A start that was accepted. */
   record Start(
       double seconds, String minion, String task, int attempt, String spec, long cpuAfter) {}
@@ -56,6 +61,7 @@
   private final Map<String, Run> running = new LinkedHashMap<>();
   private final Map<String, Integer> highestStopped = new HashMap<>();
   private final Map<Long, ArrayNode> finished = new LinkedHashMap<>();
+  final List<End> ends = Collections.synchronizedList(new ArrayList<>());
   private long finishedCount;
   private long highestToken;
   private long leaseEnd;
@@ -104,6 +110,19 @@
     recorder.write("minion " + id + " loses power");
   }
 
+  /** Lets the present runs end one after the other, the first after {@code firstMillis}. */
+  synchronized void endRunsInTurn(long firstMillis, long intervalMillis) {
+    long end = clock() + firstMillis;
+    for (Run run : running.values()) {
+      run.endMillis = end;
+      end += intervalMillis;
+    }
+  }
+
+  synchronized boolean runsNothing() {
+    return running.isEmpty();
+  }
+
   boolean isDark() {
     return dark;
   }
@@ -149,6 +168,7 @@
     highestStopped.merge(run.task, run.attempt, Math::max);
     finishedCount++;
     finished.put(finishedCount, Http.MAPPER.createArrayNode().add(finishedCount).add(run.task).add(run.attempt).add(how).add(""));
+    ends.add(new End(recorder.seconds(), run.task, run.attempt, how));
     recorder.write("minion " + id + ": run " + run.attempt + " of " + run.task + " ends " + how);
     notifyAll();
   }
@@ -248,7 +268,15 @@
 
   private String hold(JsonNode body, ObjectNode response) throws InterruptedException {
     extendLease(body);
-    finished.keySet().removeIf(number -> number <= body.path("lastSeen").asLong());
+    long lastSeen = body.path("lastSeen").asLong();
+    for (ArrayNode end : List.copyOf(finished.values())) {
+      if (end.get(0).asLong() <= lastSeen) {
+        finished.remove(end.get(0).asLong());
+        recorder.write(
+            "minion " + id + ": the end " + end.get(3).asText() + " of run " + end.get(2) + " of "
+                + end.get(1).asText() + " is taken note of");
+      }
+    }
     long endNanos = System.nanoTime() + 1_000_000 * Math.min(2_000, body.path("waitMs").asLong());
     long knownEnds = finishedCount;
     while (finishedCount == knownEnds && finished.isEmpty() && System.nanoTime() < endNanos) {
--- a/review/standins-2/src/World.java
+++ b/review/standins-2/src/World.java
@@ -26,6 +26,7 @@
   private final List<Process> daemons = new ArrayList<>();
   private final List<Integer> frontends = new ArrayList<>();
   private final List<Integer> readiness = new ArrayList<>();
+  private volatile long lastHeartbeatNanos;
   private int storePort;
   private int machinesPort;
 
@@ -113,6 +114,7 @@
                       store.put("servers", minion.id(), minion.entry(SERVICE, ZONE));
                     }
                   }
+                  lastHeartbeatNanos = System.nanoTime();
                   Thread.sleep(HEARTBEAT_MILLIS);
                 }
               } catch (InterruptedException e) {
@@ -133,6 +135,14 @@
     return minion;
   }
 
+  /** Waits until all workers have just written their entries. */
+  void awaitHeartbeat() throws InterruptedException {
+    long previous = lastHeartbeatNanos;
+    while (lastHeartbeatNanos == previous) {
+      Thread.sleep(5);
+    }
+  }
+
   Minion minion(int number) {
     return minions.get(number);
   }
