Logs of moves: what the decision rested on, and the accepted answer

The log showed neither the list on which a move rested nor its answer if it was accepted. Change: machine.move has the listed pool, the age of the list and the worker on the VM; machine.moved is the accepted answer. No decision changes.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
@@ -12,6 +12,7 @@
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.VmClient;
 import org.sassafraslink.api.fleet.VmClient.Authority;
+import org.sassafraslink.api.fleet.VmClient.Vm;
 import org.sassafraslink.api.fleet.VmClient.VmReply;
 import org.sassafraslink.api.fleet.VmClient.VmState;
 import org.sassafraslink.api.log.EventLog;
@@ -177,7 +178,22 @@
     worker.ifPresent(found -> found.cordonReason = CORDON_REASON);
     moves.put(vm, new Move(pool, nowMillis));
     moveRate.countMove();
-    log.log("machine.move", "machine", vm, "pool", pool, "reason", reason);
+    log.log(
+        "machine.move",
+        "machine",
+        vm,
+        "pool",
+        pool,
+        "reason",
+        reason,
+        "listedPool",
+        vmInventory.findVm(vm).map(Vm::pool).orElse(""),
+        "listAge",
+        nowMillis - vmInventory.listRequestedMillis(),
+        "worker",
+        worker.map(found -> found.entry.id()).orElse(""),
+        "workerPool",
+        worker.map(found -> found.entry.pool()).orElse(""));
     long sentGeneration = generation;
     vmCommandLog.recordVm(
         vm,
@@ -204,6 +220,7 @@
       String vm, String pool, Optional<Worker> worker, Either<CallFailure, VmReply> response) {
     boolean isAccepted = response.isRight() && response.get() == VmReply.ACCEPTED;
     if (isAccepted) {
+      logMoved(vm, pool, worker);
       worker.ifPresent(found -> endIncarnationsOnVm(found, vm, pool));
       return;
     }
@@ -225,6 +242,24 @@
     }
   }
 
+  private void logMoved(String vm, String pool, Optional<Worker> worker) {
+    Move move = moves.get(vm);
+    log.log(
+        "machine.moved",
+        "machine",
+        vm,
+        "pool",
+        pool,
+        "sinceDecision",
+        move == null ? -1 : clock.monotonicMillis() - move.commandMillis(),
+        "worker",
+        worker.map(found -> found.entry.id()).orElse(""),
+        "workerPool",
+        worker.map(found -> found.entry.pool()).orElse(""),
+        "tasks",
+        worker.map(found -> found.tasks().size()).orElse(0));
+  }
+
   /**
    * Ends the worker that was on a VM when its move to {@code pool} began, and the incarnation that
    * has replaced it there since, if any. One in the target pool has started after the move.
