A VM that has arrived in its pool is not moved there again by an outdated list

Cause: a list up to 2.5 s old still showed a VM in the standby pool after it had been moved and its worker had tasks. It was moved to the same pool again; the platform accepts what is done already, and the acceptance counted as the end of the worker.

Change: a list counts for a VM only if it was requested after the last command to it was answered (vm.CommandAnswers) and after the pause for commands of predecessors. An accepted move ends only workers whose own entry names another pool; others are asked. A move is not finished while its command has no answer, and the list of an earlier lease is discarded.

No store call, row or message more.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -385,6 +385,7 @@
     commandPending = true;
     commandedVm = vm;
     progress.downSinceMillis.put(vm, nowMillis);
+    vmInventory.recordCommand(vm);
     long sentGeneration = generation;
     Consumer<Either<CallFailure, VmReply>> onResponse =
         response -> {
@@ -393,6 +394,7 @@
             commandedVm = "";
             // The record of the command, which comes first, may have taken long.
             progress.downSinceMillis.put(vm, clock.monotonicMillis());
+            vmInventory.recordAnswer(vm, clock.monotonicMillis());
             applyResponse(progress, vm, response);
           }
         };
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MovableVms.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MovableVms.java
@@ -62,12 +62,17 @@
     return standbyVmsFor(pool, nowMillis).count();
   }
 
+  /**
+   * Returns the VMs that the list shows as powered off. A VM that was moved since the list was
+   * requested may run tasks in its new pool.
+   */
   private Stream<String> standbyVmsFor(String pool, long nowMillis) {
     Optional<String> standbyPool = config.standbyPool();
     return vmInventory.vms().stream()
         .filter(vm -> standbyPool.equals(Optional.of(vm.pool())))
         .filter(vm -> vm.state() == VmState.UP)
         .map(Vm::id)
+        .filter(vmMover::isListedAfterCommands)
         .filter(vm -> vmMover.mayMove(vm, pool, nowMillis));
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmCommandLog.java
@@ -139,6 +139,15 @@
         && nowMillis >= pausedUntilMillis.getOrDefault(vm, Long.MIN_VALUE);
   }
 
+  /**
+   * Returns whether a list requested at {@code listRequestedMillis} shows the effect of all
+   * commands of earlier schedulers to a VM. Their answers are unknown here, so that only a list
+   * requested after the pause certainly does.
+   */
+  boolean arePredecessorCommandsShownBy(String vm, long listRequestedMillis) {
+    return maySendCommand(vm, listRequestedMillis);
+  }
+
   /**
    * Returns whether no earlier scheduler sends a command to a VM any more, as far as the row shows,
    * even if its lease is still valid.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmInventory.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmInventory.java
@@ -9,8 +9,12 @@
 import org.sassafraslink.api.fleet.VmClient;
 import org.sassafraslink.api.fleet.VmClient.Vm;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.vm.CommandAnswers;
 
-/** Caches the platform's list of VMs, which is read only on calls of {@link #refreshIfDue}. */
+/**
+ * Caches the platform's list of VMs, which is read only on calls of {@link #refreshIfDue}, and
+ * knows which commands of this process the list does not show yet.
+ */
 final class VmInventory {
   /** Delay between a response and the next read of the list, in ms. */
   private static final long REFRESH_INTERVAL_MILLIS = 700;
@@ -23,6 +27,7 @@
   private final VmClient client;
   private final FleetClock clock;
   private final EventLog log;
+  private final CommandAnswers commandAnswers = CommandAnswers.create();
   private ImmutableList<Vm> vms = ImmutableList.of();
   private ImmutableMap<String, Vm> vmsById = ImmutableMap.of();
   private long listRequestedMillis = NEVER;
@@ -38,9 +43,13 @@
     this.log = log;
   }
 
+  /** Discards the list and all commands, because this process has just acquired the lease. */
   void reset() {
     generation++;
     refreshPending = false;
+    commandAnswers.reset();
+    vms = ImmutableList.of();
+    vmsById = ImmutableMap.of();
     listRequestedMillis = NEVER;
     nextRefreshMillis = 0;
   }
@@ -86,6 +95,26 @@
     return Optional.ofNullable(vmsById.get(id));
   }
 
+  /** Records that a command to a VM is about to be sent. */
+  void recordCommand(String vm) {
+    commandAnswers.recordSending(vm);
+  }
+
+  /** Records that the last command to a VM was answered or given up at {@code nowMillis}. */
+  void recordAnswer(String vm, long nowMillis) {
+    commandAnswers.recordAnswer(vm, nowMillis);
+  }
+
+  /** Returns whether no command of this process to a VM is waiting for its answer. */
+  boolean isLastCommandAnswered(String vm) {
+    return commandAnswers.isAnswered(vm);
+  }
+
+  /** Returns whether the list shows the effect of the last command of this process to a VM. */
+  boolean showsLastCommand(String vm) {
+    return commandAnswers.areShownBy(vm, listRequestedMillis);
+  }
+
   private static ImmutableMap<String, Vm> indexById(ImmutableList<Vm> vms) {
     Map<String, Vm> byId = new LinkedHashMap<>();
     vms.forEach(vm -> byId.putIfAbsent(vm.id(), vm));
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
@@ -140,14 +140,21 @@
   }
 
   private boolean isFinished(String vm, Move move, long nowMillis) {
+    if (!vmInventory.isLastCommandAnswered(vm)) {
+      // The command may not even have been sent, and would end tasks that start meanwhile.
+      return false;
+    }
+    // A worker that was in the pool before an earlier move has not reported since.
     boolean hasArrived =
         workers
             .listedOnVm(vm)
-            .map(worker -> worker.hasReported && worker.entry.pool().equals(move.pool()))
+            .filter(worker -> worker.entry.pool().equals(move.pool()))
+            .map(worker -> worker.lastAnsweredRequestMillis >= move.commandMillis())
             .orElse(false);
     // A powered-off VM has no worker that could report its arrival, so the platform's list decides.
     boolean isPoweredOff =
-        vmInventory.listRequestedMillis() > move.commandMillis() + settings.moveMillis()
+        vmInventory.showsLastCommand(vm)
+            && vmInventory.listRequestedMillis() > move.commandMillis() + settings.moveMillis()
             && vmInventory
                 .findVm(vm)
                 .map(found -> found.pool().equals(move.pool()) && found.state() == VmState.UP)
@@ -172,11 +179,21 @@
         && nowMillis >= retryAtMillis.getOrDefault(vm, Long.MIN_VALUE);
   }
 
+  /**
+   * Returns whether the list shows the effect of all commands to a VM, those of earlier schedulers
+   * included, so that a decision may rest on the pool that it shows.
+   */
+  boolean isListedAfterCommands(String vm) {
+    return vmInventory.showsLastCommand(vm)
+        && vmCommandLog.arePredecessorCommandsShownBy(vm, vmInventory.listRequestedMillis());
+  }
+
   /** Starts the move of a VM to a pool, and cordons its worker, which must be safe to remove. */
   void move(String vm, String pool, String reason, long nowMillis) {
     Optional<Worker> worker = workers.listedOnVm(vm);
     worker.ifPresent(found -> found.cordonReason = CORDON_REASON);
     moves.put(vm, new Move(pool, nowMillis));
+    vmInventory.recordCommand(vm);
     moveRate.countMove();
     log.log(
         "machine.move",
@@ -218,10 +235,11 @@
 
   private void applyResponse(
       String vm, String pool, Optional<Worker> worker, Either<CallFailure, VmReply> response) {
+    vmInventory.recordAnswer(vm, clock.monotonicMillis());
     boolean isAccepted = response.isRight() && response.get() == VmReply.ACCEPTED;
     if (isAccepted) {
       logMoved(vm, pool, worker);
-      worker.ifPresent(found -> endIncarnationsOnVm(found, vm, pool));
+      worker.ifPresent(found -> applyAcceptedMove(found, vm, pool));
       return;
     }
     log.log("machine.not_moved", "machine", vm, "pool", pool, "answer", response);
@@ -262,15 +280,25 @@
 
   /**
    * Ends the worker that was on a VM when its move to {@code pool} began, and the incarnation that
-   * has replaced it there since, if any. One in the target pool has started after the move.
+   * has replaced it there since, if any. One in the target pool has started after the move, or the
+   * move was done already, which the platform accepts too.
    */
-  private void endIncarnationsOnVm(Worker worker, String vm, String pool) {
+  private void applyAcceptedMove(Worker worker, String vm, String pool) {
     Optional<Worker> restarted =
         workers
             .listedOnVm(vm)
-            .filter(found -> found != worker && found.entry.id().equals(worker.entry.id()))
-            .filter(found -> !found.entry.pool().equals(pool));
-    actions.onWorkerEnded(worker);
-    restarted.ifPresent(actions::onWorkerEnded);
+            .filter(found -> found != worker && found.entry.id().equals(worker.entry.id()));
+    endUnlessInPool(worker, pool);
+    restarted.ifPresent(found -> endUnlessInPool(found, pool));
+  }
+
+  private void endUnlessInPool(Worker worker, String pool) {
+    if (worker.hasOwnEntry && !worker.entry.pool().equals(pool)) {
+      actions.onWorkerEnded(worker);
+      return;
+    }
+    // It gets tasks only once it has responded, and keeps its own until its lease has expired.
+    worker.suspectReplacement(clock.monotonicMillis());
+    worker.cordonReason = "";
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -65,6 +65,9 @@
   /** When it last responded to a report request, monotonic ms. */
   long lastResponseMillis;
 
+  /** When the newest report request with a response was sent, monotonic ms. */
+  long lastAnsweredRequestMillis;
+
   /** When it last responded to a start or a stop, monotonic ms; for the log only. */
   long lastCommandResponseMillis;
 
@@ -213,9 +216,12 @@
    * Records a response with the worker's clock, which also ends a series of failed requests.
    *
    * @param inheritedLeaseMillis see {@link WorkerLease#read}
+   * @param sentMillis when the request was sent, monotonic ms
    */
-  void recordResponse(long workerClockMillis, long inheritedLeaseMillis, long nowMillis) {
+  void recordResponse(
+      long workerClockMillis, long inheritedLeaseMillis, long sentMillis, long nowMillis) {
     lease = lease.read(workerClockMillis, inheritedLeaseMillis, nowMillis);
+    lastAnsweredRequestMillis = Math.max(lastAnsweredRequestMillis, sentMillis);
     lastResponseMillis = nowMillis;
     consecutiveCallFailures = 0;
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -225,7 +225,7 @@
           "silences",
           worker.consecutiveCallFailures);
     }
-    worker.recordResponse(report.clockMillis(), inheritedLeaseMillis(worker), now);
+    worker.recordResponse(report.clockMillis(), inheritedLeaseMillis(worker), sentMillis, now);
     worker.lastAcknowledgedEnd = Math.max(worker.lastAcknowledgedEnd, acknowledgedEnd);
     listener.onReport(worker, report, sentMillis);
     worker.hasReported = true;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/AvailabilityTest.java
@@ -61,7 +61,10 @@
         task -> {
           Worker worker = TestWorkers.withId("w" + task.id.index());
           worker.recordResponse(
-              /* workerClockMillis= */ 500, /* inheritedLeaseMillis= */ 0, NOW_MILLIS);
+              /* workerClockMillis= */ 500,
+              /* inheritedLeaseMillis= */ 0,
+              /* sentMillis= */ NOW_MILLIS,
+              NOW_MILLIS);
           task.assign(worker, 1, "");
           task.phase = TaskPhase.RUNNING;
           task.speedPercent = 100;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -471,4 +471,26 @@
     assertEquals(List.of(false, true), node.recordResults);
     assertTrue(node.hasAuthority());
   }
+
+  /**
+   * Guards against decisions on lists that were requested while a predecessor's command was due.
+   */
+  @ParameterizedTest
+  @CsvSource({"0, false", "500, false", "6000, true"})
+  void onlyListRequestedAfterThePauseShowsCommandsOfAPredecessor(
+      int requestedAfterMillis, boolean isShown) {
+    Node first = new Node("n1");
+    clock.advance(3_000);
+    first.recordVm("vm");
+    clock.advance(100);
+    first.running = false;
+    Node second = new Node("n2");
+    while (!second.commandLog.arePredecessorCommandsShownBy("other", Long.MAX_VALUE)) {
+      clock.advance(RUN_INTERVAL_MILLIS);
+    }
+    long requestedMillis = second.time.monotonicMillis() + requestedAfterMillis;
+    clock.advance(10_000);
+    assertEquals(isShown, second.commandLog.arePredecessorCommandsShownBy("vm", requestedMillis));
+    assertTrue(second.commandLog.arePredecessorCommandsShownBy("other", requestedMillis));
+  }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerTest.java
@@ -59,7 +59,11 @@
 
   @Test
   void leaseOfUnresponsiveWorkerIsNotExtended() {
-    worker.recordResponse(/* workerClockMillis= */ 500, /* inheritedLeaseMillis= */ 0, NOW_MILLIS);
+    worker.recordResponse(
+        /* workerClockMillis= */ 500,
+        /* inheritedLeaseMillis= */ 0,
+        /* sentMillis= */ NOW_MILLIS,
+        NOW_MILLIS);
     Optional<Long> leaseEnd = worker.grantLease(6_000, NOW_MILLIS);
     assertEquals(Optional.of(6_500L), leaseEnd);
     worker.consecutiveCallFailures = 1;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.sassafraslink.api.fleet.CallFailure;
@@ -28,6 +29,7 @@
   static final long HANDOVER_PAUSE_MILLIS = 3_000;
 
   private static final long CALL_LATENCY_MILLIS = 4;
+  private static final long CALL_TIMEOUT_MILLIS = 900;
   private static final long RATE_WINDOW_MILLIS = 1_000;
 
   private static final class FakeVm {
@@ -57,6 +59,19 @@
   private long highestFencingToken;
   private boolean responsesLost;
   private int attemptsEndedByCommands;
+  private int movesDoneAlready;
+
+  /** Until when calls are neither executed nor answered, ms. */
+  private long silentUntilMillis;
+
+  /** Until when requests for lists are rejected, ms. */
+  private long listsRejectedUntilMillis;
+
+  /** How old the state is that lists show, in ms. */
+  private long listLagMillis;
+
+  /** The lists that were requested, by the time of the request. */
+  private final TreeMap<Long, ImmutableList<Vm>> requestedLists = new TreeMap<>();
 
   /**
    * Creates a platform without VMs.
@@ -97,6 +112,26 @@
     responsesLost = areLost;
   }
 
+  /** Has the platform neither execute nor answer calls for {@code millis} ms. */
+  void silence(long millis) {
+    silentUntilMillis = fleet.clock.nowMillis() + millis;
+  }
+
+  /** Has the platform reject requests for lists for {@code millis} ms, but not commands. */
+  void rejectLists(long millis) {
+    listsRejectedUntilMillis = fleet.clock.nowMillis() + millis;
+  }
+
+  /** Has lists show the VMs as they were at the last request before {@code millis} ms ago. */
+  void setListLag(long millis) {
+    listLagMillis = millis;
+  }
+
+  /** Returns how many moves were accepted although their VM was in the pool already. */
+  int movesDoneAlready() {
+    return movesDoneAlready;
+  }
+
   /** Returns how many running attempts commands have ended. */
   int attemptsEndedByCommands() {
     return attemptsEndedByCommands;
@@ -113,7 +148,20 @@
 
   @Override
   public void list(Consumer<Either<CallFailure, ImmutableList<Vm>>> callback) {
-    respond(callback, () -> Either.right(listVms()));
+    respond(
+        callback,
+        () ->
+            fleet.clock.nowMillis() < listsRejectedUntilMillis
+                // As HttpVmClient reports the status 429.
+                ? Either.left(CallFailure.NOT_PERFORMED)
+                : Either.right(listVmsWithLag()));
+  }
+
+  private ImmutableList<Vm> listVmsWithLag() {
+    long now = fleet.clock.nowMillis();
+    requestedLists.put(now, listVms());
+    Long shown = requestedLists.floorKey(now - listLagMillis);
+    return requestedLists.get(shown == null ? requestedLists.firstKey() : shown);
   }
 
   private ImmutableList<Vm> listVms() {
@@ -146,6 +194,11 @@
       // As HttpVmClient reports the status 429.
       return Either.left(CallFailure.NOT_PERFORMED);
     }
+    FakeVm found = vms.get(vm);
+    if (found != null && found.state == VmState.UP && found.pool.equals(pool)) {
+      movesDoneAlready++;
+      return acceptRepeated(authority);
+    }
     Either<CallFailure, VmReply> reply = takeDown(vm, VmState.MOVING, pool, MOVE_MILLIS, authority);
     if (reply.equals(Either.right(VmReply.ACCEPTED))) {
       recentMoveMillis.addLast(now);
@@ -253,6 +306,12 @@
     fleet.clock.runAfter(
         CALL_LATENCY_MILLIS,
         () -> {
+          if (fleet.clock.nowMillis() < silentUntilMillis) {
+            fleet.clock.runAfter(
+                CALL_TIMEOUT_MILLIS,
+                () -> callback.accept(Either.left(CallFailure.OUTCOME_UNKNOWN)));
+            return;
+          }
           Either<CallFailure, T> response = call.get();
           fleet.clock.runAfter(CALL_LATENCY_MILLIS, () -> callback.accept(response));
         });
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -405,6 +405,26 @@
     vmPlatform.orElseThrow().setResponsesLost(areLost);
   }
 
+  /** Has the platform's interface for VMs neither execute nor answer calls for some ms. */
+  public void silenceVmPlatform(long millis) {
+    vmPlatform.orElseThrow().silence(millis);
+  }
+
+  /** Has the platform reject requests for lists of VMs for some ms, but not commands. */
+  public void rejectVmLists(long millis) {
+    vmPlatform.orElseThrow().rejectLists(millis);
+  }
+
+  /** Has the platform's lists show the VMs as they were {@code millis} ms ago. */
+  public void setVmListLag(long millis) {
+    vmPlatform.orElseThrow().setListLag(millis);
+  }
+
+  /** Returns how many moves were accepted although their VM was in the pool already. */
+  public int vmMovesDoneAlready() {
+    return vmPlatform.orElseThrow().movesDoneAlready();
+  }
+
   /** Returns how many running attempts commands to VMs have ended. */
   public int attemptsEndedByVmCommands() {
     return vmPlatform.orElseThrow().attemptsEndedByCommands();
