A cancelled id is stored before its cancelling is answered 410

Cause: the answer "there is no such job" was a fact about the moment of the read, and left nothing that the late insert would have contradicted.

Change: the answer waits for an ended row without a state, whose absence each insert of a submission requires, also that of entry VMs of the earlier version. A submission of such an id is rejected as job-cancelled; its neighbours in the transaction are sent again without it. JobStateReader and JobCanceller are taken out of JobRequestHandler.

--- a/api/src/main/java/org/sassafraslink/api/failure/FailureType.java
+++ b/api/src/main/java/org/sassafraslink/api/failure/FailureType.java
@@ -36,6 +36,10 @@
   DEADLINE_BEFORE_START(504, true),
   /** No instance of the service could be reached. */
   NO_INSTANCE(503, true),
+  /** The job was cancelled before it was stored; it never runs. */
+  JOB_CANCELLED(503, true),
+  /** Too many ids that belong to no stored job were cancelled; nothing was changed. */
+  CANCELLATION_LIMITED(503, true),
   /** The daemon has not loaded a configuration yet. */
   NOT_READY(503, true),
   /** The daemon cannot verify that its configuration is the newest. */
--- a/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/JobRequestHandler.java
@@ -1,32 +1,23 @@
 package org.sassafraslink.entry.request;
 
-import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.failure.FailureType;
-import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.JobSpec;
-import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.RowStore;
-import org.sassafraslink.api.fleet.RowStore.Expectation;
-import org.sassafraslink.api.fleet.RowStore.Outcome;
-import org.sassafraslink.api.fleet.RowStore.Put;
 import org.sassafraslink.api.fleet.RowStore.Range;
 import org.sassafraslink.api.fleet.RowStore.RowKey;
-import org.sassafraslink.api.fleet.RowStore.Rows;
-import org.sassafraslink.api.fleet.RowStore.StoredRow;
-import org.sassafraslink.api.fleet.RowStore.Transaction;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.entry.job.JobCanceller;
+import org.sassafraslink.entry.job.JobStateReader;
 import org.sassafraslink.entry.process.ConfigWatcher;
 import org.sassafraslink.platform.fleet.JobCodec;
-import org.sassafraslink.scheduler.JobRows;
-import org.sassafraslink.scheduler.JobRows.Kind;
 import org.sassafraslink.scheduler.PendingJobCounts;
 
 /**
@@ -41,11 +32,10 @@
   /** Age at which the cached counts of pending jobs are read again, in ms. */
   private static final long MAX_PENDING_COUNTS_AGE_MILLIS = 500;
 
-  /** Most retries of a cancellation; after them the outcome is reported as unknown. */
-  private static final int MAX_CANCEL_RETRIES = 6;
-
   private final ConfigWatcher configWatcher;
   private final RowStore store;
+  private final JobStateReader stateReader;
+  private final JobCanceller canceller;
   private final SubmissionWriter submissionWriter;
   private final StoreHealth storeHealth;
   private final FleetClock clock;
@@ -66,6 +56,8 @@
       EventLog log) {
     this.configWatcher = configWatcher;
     this.store = store;
+    this.stateReader = JobStateReader.of(store);
+    this.canceller = JobCanceller.create(store, stateReader, clock, log);
     this.submissionWriter = submissionWriter;
     this.storeHealth = storeHealth;
     this.clock = clock;
@@ -147,7 +139,10 @@
       }
       case "DELETE" -> {
         if (isJobId) {
-          cancel(request, pathSuffix, 0, callback);
+          canceller.cancel(
+              pathSuffix,
+              request.deadlineMillis(),
+              result -> callback.accept(cancellationResponse(result)));
         } else {
           callback.accept(CallerResponse.jobNotFound());
         }
@@ -175,141 +170,37 @@
   }
 
   private void respondWithState(String jobId, Consumer<CallerResponse> callback) {
-    readStateRows(
+    stateReader.read(
         jobId,
         result -> {
           if (result.isLeft()) {
             callback.accept(storeUnavailable());
             return;
           }
-          Optional<JobState> state = JobRows.jobState(result.get().rows());
           callback.accept(
-              state
+              result
+                  .get()
+                  .state()
                   .map(jobState -> CallerResponse.ok(JobCodec.encodeState(jobState)))
                   .orElseGet(CallerResponse::jobNotFound));
         });
   }
 
-  /**
-   * The rows that determine a job's state.
-   *
-   * @param decisionPartition the partition for the job's cancellation
-   */
-  private record StateRows(String decisionPartition, ImmutableList<StoredRow> rows) {}
-
-  /**
-   * Reads the rows that determine a job's state. The submission is in another partition and is read
-   * only if the scheduler has written nothing about the job and no cancellation exists.
-   */
-  private void readStateRows(String jobId, Consumer<Either<CallFailure, StateRows>> callback) {
-    String partition = JobRows.decisionPartition(jobId);
-    store.read(
-        JobRows.decisionRange(partition, jobId),
-        decisionRows -> {
-          boolean isKnown = decisionRows.isRight() && !decisionRows.get().rows().isEmpty();
-          if (decisionRows.isLeft() || isKnown) {
-            callback.accept(decisionRows.map(rows -> new StateRows(partition, rows.rows())));
-          } else {
-            readSubmission(jobId, callback);
-          }
-        });
-  }
-
-  private void readSubmission(String jobId, Consumer<Either<CallFailure, StateRows>> callback) {
-    store.read(
-        JobRows.submissionRange(jobId),
-        submissionRows -> {
-          boolean isFromPreviousVersion =
-              submissionRows.isRight()
-                  && JobRows.findRow(submissionRows.get().rows(), Kind.SUBMISSION)
-                      .filter(row -> !JobCodec.hasDecisionPartition(row.value()))
-                      .isPresent();
-          if (isFromPreviousVersion) {
-            readMainPartition(jobId, submissionRows.get().rows(), callback);
-          } else {
-            callback.accept(
-                submissionRows.map(
-                    rows -> new StateRows(JobRows.decisionPartition(jobId), rows.rows())));
-          }
-        });
-  }
-
-  /** Reads the decision rows of a job that was submitted to a previous version. */
-  private void readMainPartition(
-      String jobId,
-      ImmutableList<StoredRow> submissionRows,
-      Consumer<Either<CallFailure, StateRows>> callback) {
-    store.read(
-        JobRows.decisionRange(JobRows.MAIN_PARTITION, jobId),
-        mainRows ->
-            callback.accept(
-                mainRows
-                    .map(Rows::rows)
-                    .map(rows -> rows.isEmpty() ? submissionRows : rows)
-                    .map(rows -> new StateRows(JobRows.MAIN_PARTITION, rows))));
-  }
-
-  private void cancel(
-      CallerRequest request, String jobId, int retries, Consumer<CallerResponse> callback) {
-    readStateRows(
-        jobId,
-        result -> {
-          if (result.isLeft()) {
-            retryCancel(request, jobId, retries, result.getLeft(), callback);
-            return;
-          }
-          Optional<JobState> state = JobRows.jobState(result.get().rows());
-          if (state.equals(Optional.of(JobState.CANCELLED))) {
-            callback.accept(CallerResponse.ok());
-          } else if (state.isEmpty() || state.get().isFinal()) {
-            callback.accept(CallerResponse.jobNotFound());
-          } else {
-            insertCancellation(request, jobId, result.get().decisionPartition(), retries, callback);
-          }
-        });
-  }
-
-  private void insertCancellation(
-      CallerRequest request,
-      String jobId,
-      String partition,
-      int retries,
-      Consumer<CallerResponse> callback) {
-    RowKey key = JobRows.decisionKey(partition, jobId, Kind.CANCELLATION);
-    RowKey finalKey = JobRows.decisionKey(partition, jobId, Kind.FINAL);
-    Transaction transaction =
-        new Transaction(
-            ImmutableList.of(new Expectation(finalKey, RowStore.ABSENT)),
-            ImmutableList.of(new Put(key, "{}")),
-            ImmutableList.of());
-    store.commit(
-        transaction,
-        outcome -> {
-          log.log("job.cancelled", "job", jobId, "outcome", outcome);
-          if (outcome instanceof Outcome.Committed) {
-            callback.accept(CallerResponse.ok());
-          } else if (outcome instanceof Outcome.Failed failed) {
-            retryCancel(request, jobId, retries, failed.failure(), callback);
-          } else {
-            // The job ended after its rows were read: read its final state.
-            cancel(request, jobId, retries + 1, callback);
-          }
-        });
-  }
-
-  private void retryCancel(
-      CallerRequest request,
-      String jobId,
-      int retries,
-      CallFailure failure,
-      Consumer<CallerResponse> callback) {
-    // Leaves 1 s for the retry and the response.
-    boolean hasTime = clock.monotonicMillis() < request.deadlineMillis() - 1_000;
-    if (failure == CallFailure.OUTCOME_UNKNOWN && hasTime && retries < MAX_CANCEL_RETRIES) {
-      cancel(request, jobId, retries + 1, callback);
-    } else {
-      callback.accept(cancellationFailed(failure));
-    }
+  private CallerResponse cancellationResponse(JobCanceller.Result result) {
+    return switch (result) {
+      case CANCELLED -> CallerResponse.ok();
+      case NO_SUCH_JOB -> CallerResponse.jobNotFound();
+      case LIMITED ->
+          retryLater(
+              FailureType.CANCELLATION_LIMITED,
+              "Too many ids that belong to no stored job have been cancelled here.");
+      case NOT_PERFORMED -> storeUnavailable();
+      case OUTCOME_UNKNOWN ->
+          CallerResponse.failed(
+              Failure.of(
+                  FailureType.STORE_OUTCOME_UNKNOWN,
+                  "The store has not confirmed whether the job was cancelled."));
+    };
   }
 
   private void respondWithPendingCount(QueueConfig queue, Consumer<CallerResponse> callback) {
@@ -369,15 +260,6 @@
     return retryLater(FailureType.STORE_UNAVAILABLE, "The store is not responding.");
   }
 
-  private CallerResponse cancellationFailed(CallFailure failure) {
-    return failure == CallFailure.NOT_PERFORMED
-        ? retryLater(FailureType.STORE_UNAVAILABLE, "The store is not responding.")
-        : CallerResponse.failed(
-            Failure.of(
-                FailureType.STORE_OUTCOME_UNKNOWN,
-                "The store has not confirmed whether the job was cancelled."));
-  }
-
   private CallerResponse retryLater(FailureType type, String detail) {
     return CallerResponse.failed(
         Failure.of(type, detail), RetryDelay.seconds(storeHealth.outageMillis()));
--- a/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
+++ b/entry/src/main/java/org/sassafraslink/entry/request/SubmissionWriter.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -32,7 +33,7 @@
  *
  * <p>Submissions that wait at the same time for the same partition of the store share a
  * transaction, which inserts each of them only if its id is new. An id that is stored already is
- * accepted too, because it belongs to the same job.
+ * accepted too, because it belongs to the same job. One that was cancelled before is rejected.
  *
  * <p>A job is rejected only if none of its inserts was applied or can still be applied. After an
  * insert whose outcome is unknown, the same insert is repeated while the store answers other calls.
@@ -286,17 +287,18 @@
       batch.forEach(submission -> onStored.accept(submission.jobId));
       sendDueBatches();
     } else if (outcome instanceof Outcome.Conflict conflict) {
-      Set<String> storedKeys = new HashSet<>();
+      Map<RowKey, StoredRow> stored = new HashMap<>();
       for (StoredRow row : conflict.current()) {
         if (!row.deleted() && row.version() != RowStore.ABSENT) {
-          storedKeys.add(row.key().key());
+          stored.put(row.key(), row);
         }
       }
       for (Submission submission : batch) {
-        boolean isAlreadyStored =
-            storedKeys.contains(JobRows.key(submission.jobId, Kind.SUBMISSION).key())
-                || storedKeys.contains(JobRows.key(submission.jobId, Kind.ENDED).key());
-        if (isAlreadyStored) {
+        StoredRow ended = stored.get(JobRows.key(submission.jobId, Kind.ENDED));
+        if (ended != null && JobRows.isCancelledId(ended)) {
+          respond(submission, cancelledResponse(), "cancelled");
+        } else if (ended != null
+            || stored.containsKey(JobRows.key(submission.jobId, Kind.SUBMISSION))) {
           respond(submission, CallerResponse.ok(), "known");
         } else {
           waitingSubmissions.addFirst(submission);
@@ -356,6 +358,17 @@
             "The store has not confirmed whether the job was stored."));
   }
 
+  /**
+   * Returns the response to a submission of a cancelled id. The job never runs: its earlier inserts
+   * fail too, since the cancelled id is stored for longer than an insert can be delayed.
+   */
+  private static CallerResponse cancelledResponse() {
+    return CallerResponse.failed(
+        Failure.of(
+            FailureType.JOB_CANCELLED,
+            "The job was cancelled before it was stored. Use a new id to submit it again."));
+  }
+
   private CallerResponse notStoredResponse() {
     return CallerResponse.failed(
         Failure.of(FailureType.STORE_UNAVAILABLE, "The job was not stored."),
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/FinishedJobCleaner.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/FinishedJobCleaner.java
@@ -49,6 +49,12 @@
    */
   private static final double RETENTION_FACTOR = 1.5;
 
+  /**
+   * The shortest retention, in ms. Entry VMs insert a submission for up to 120 s, as long as its
+   * caller waits, and the store may apply an insert seconds after it was sent.
+   */
+  private static final long MIN_RETENTION_MILLIS = 150_000;
+
   /** A finished job, and which of its rows are still stored. */
   private static final class FinishedJob {
     private final String jobId;
@@ -100,7 +106,8 @@
     this.clock = clock;
     this.lease = lease;
     this.fences = fences;
-    this.retentionMillis = (long) (minRetentionMillis * RETENTION_FACTOR);
+    this.retentionMillis =
+        Math.max(MIN_RETENTION_MILLIS, (long) (minRetentionMillis * RETENTION_FACTOR));
   }
 
   void reset() {
@@ -131,11 +138,41 @@
     }
   }
 
+  /**
+   * Adds an id that was cancelled before a job with it was stored, unless it was added before.
+   *
+   * @param cancelledId see {@link JobRows#isCancelledId}
+   */
+  void addCancelledId(String jobId, StoredRow cancelledId) {
+    FinishedJob finished =
+        new FinishedJob(
+            jobId, JobState.CANCELLED, JobRows.decisionPartition(jobId), clock.monotonicMillis());
+    finished.endedRowVersion = cancelledId.version();
+    finished.hasFinalRow = false;
+    finishedJobs.putIfAbsent(jobId, finished);
+  }
+
   /** Returns whether a job has finished and some of its rows may still be stored. */
   boolean contains(String jobId) {
     return finishedJobs.containsKey(jobId);
   }
 
+  /**
+   * Returns whether a submission row is that of a job that has finished. One that was stored after
+   * the ended row of its id is that of a new job, since an insert requires that this row is absent.
+   */
+  boolean isOfFinishedJob(String jobId, StoredRow submission) {
+    FinishedJob finished = finishedJobs.get(jobId);
+    return finished != null
+        && (finished.endedRowVersion == RowStore.ABSENT
+            || submission.version() < finished.endedRowVersion);
+  }
+
+  /** Forgets a job, because a new job with its id is stored. */
+  void remove(String jobId) {
+    finishedJobs.remove(jobId);
+  }
+
   /** Replaces submissions and deletes expired rows if the next check is due. */
   void cleanIfDue(long nowMillis) {
     if (nowMillis < nextCheckMillis || !lease.isValid()) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -123,7 +123,9 @@
           Optional<JobState> finalState = JobRows.jobState(jobRows).filter(JobState::isFinal);
           Optional<StoredRow> finalRow = JobRows.findRow(jobRows, Kind.FINAL);
           Optional<StoredRow> endedRow = JobRows.findRow(jobRows, Kind.ENDED);
-          if (finalRow.isPresent() || endedRow.isPresent()) {
+          if (endedRow.map(JobRows::isCancelledId).orElse(false)) {
+            finishedJobCleaner.addCancelledId(id, endedRow.get());
+          } else if (finalRow.isPresent() || endedRow.isPresent()) {
             String decisionPartition =
                 finalRow
                     .map(row -> row.key().partition())
@@ -170,19 +172,23 @@
   }
 
   /**
-   * Adds the job of a new submission or cancels the job of a cancellation. Other rows are ignored,
-   * since the scheduler itself wrote them.
+   * Adds the job of a new submission, cancels the job of a cancellation, or adds a cancelled id.
+   * Other rows are ignored, since the scheduler itself wrote them.
    */
   void applyRow(StoredRow row) {
     String id = JobRows.jobIdOf(row.key());
     Job job = jobsById.get(id);
     Optional<Kind> kind = JobRows.kindOf(row.key());
-    // A full read of the rows may still find the submission of a job that has finished.
-    boolean isNew = job == null && !finishedJobCleaner.contains(id);
-    if (kind.equals(Optional.of(Kind.SUBMISSION)) && isNew) {
-      decodeSubmission(id, row).ifPresent(spec -> addJob(spec, row));
+    if (kind.equals(Optional.of(Kind.SUBMISSION)) && job == null) {
+      // A full read of the rows may still find the submission of a job that has finished.
+      if (!finishedJobCleaner.isOfFinishedJob(id, row)) {
+        finishedJobCleaner.remove(id);
+        decodeSubmission(id, row).ifPresent(spec -> addJob(spec, row));
+      }
     } else if (kind.equals(Optional.of(Kind.CANCELLATION)) && job != null) {
       cancel(job);
+    } else if (kind.equals(Optional.of(Kind.ENDED)) && JobRows.isCancelledId(row)) {
+      finishedJobCleaner.addCancelledId(id, row);
     }
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRows.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRows.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.sassafraslink.api.fleet.JobState;
+import org.sassafraslink.api.fleet.RowStore.Put;
 import org.sassafraslink.api.fleet.RowStore.Range;
 import org.sassafraslink.api.fleet.RowStore.RowKey;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
@@ -49,6 +50,8 @@
    */
   private static final int SUBMISSION_PARTITIONS = 32;
 
+  private static final String CANCELLED_ID = "{\"cancelledBeforeSubmission\":true}";
+
   /** A job's id followed by this character is the exclusive end of the range of the job's keys. */
   private static final char CHAR_AFTER_SEPARATOR = '/' + 1;
 
@@ -62,7 +65,10 @@
     CANCELLATION("c"),
     /** The final state of the job. */
     FINAL("d"),
-    /** The final state of the job, as a replacement for its submission. */
+    /**
+     * The final state of the job, as a replacement for its submission. Or, if {@link
+     * JobRows#isCancelledId}, the mark of an id that was cancelled before a job with it was stored.
+     */
     ENDED("e");
 
     private final String suffix;
@@ -178,6 +184,20 @@
         .findFirst();
   }
 
+  /**
+   * Returns the row that keeps a job with a cancelled id from being stored. It is of the kind whose
+   * absence each insert of a submission requires, those of earlier versions included, and has no
+   * state, so that callers are told that there is no such job.
+   */
+  public static Put cancelledId(String jobId) {
+    return new Put(key(jobId, Kind.ENDED), CANCELLED_ID);
+  }
+
+  /** Returns whether an {@link Kind#ENDED} row is that of a cancelled id without a job. */
+  public static boolean isCancelledId(StoredRow endedRow) {
+    return endedRow.value().equals(CANCELLED_ID);
+  }
+
   /** Returns the state of a job according to its rows, or empty if there is no such job. */
   public static Optional<JobState> jobState(ImmutableList<StoredRow> rows) {
     Optional<JobState> finalState =
