A job is pending until a worker is known to have begun it

Cause: a restored assignment counted as a beginning. The row shows only that the earlier scheduler had decided to send the start, and a lost worker leaves that open until its lease has expired.

Change: a job has begun when a worker has accepted a start or reports an attempt, or when its row says so, which is new in the row. A row that would not say so within 2 s is written once more. The first counts after a takeover wait for the first reports, for 0.3 s at most.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -51,9 +51,15 @@
   /** Whether its submitter has requested its cancellation. */
   boolean cancelRequested;
 
-  /** Whether a worker is known to have accepted the start of one of its tasks. */
+  /**
+   * Whether a worker is known to have accepted the start of one of its tasks. A start that may have
+   * been accepted does not count: if its worker is lost, nobody runs the job.
+   */
   boolean startAccepted;
 
+  /** The value of {@link #lastChange} when the first start was accepted. */
+  long changeBeforeBegin;
+
   /** When its final state was set, monotonic ms. */
   long finishedMillis;
 
@@ -163,17 +169,23 @@
     return state != JobState.QUEUED;
   }
 
-  /**
-   * Returns whether a worker has accepted the start of one of its tasks, or may have accepted it
-   * from an earlier scheduler.
-   */
-  boolean hasBegun() {
-    return startAccepted || hasTask(task -> task.restored && task.phase.mayBeKnownToWorker());
+  /** Returns whether a task has succeeded, failed or had a checkpoint. */
+  boolean hasTaskKnownToHaveRun() {
+    return hasTask(
+        task -> task.phase == TaskPhase.DONE || task.failures > 0 || !task.checkpoint.isEmpty());
   }
 
-  /** Returns whether an attempt of one of its tasks is over. */
-  boolean hasEndedAttempt() {
-    return hasTask(task -> task.attempt > 0 && !task.phase.occupiesWorker());
+  /**
+   * Returns whether an earlier scheduler may have sent a start about which its worker has neither
+   * reported nor failed to respond yet.
+   */
+  boolean hasUncheckedStart() {
+    return hasTask(
+        task ->
+            task.restored
+                && task.phase.mayBeKnownToWorker()
+                && !task.worker.hasReported
+                && task.worker.consecutiveCallFailures == 0);
   }
 
   private boolean hasTask(Predicate<Task> condition) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.TreeMap;
 import org.sassafraslink.api.failure.Failure;
 import org.sassafraslink.api.fleet.FleetClock;
@@ -26,6 +28,15 @@
  * of its attempts occupies a worker. Not thread-safe: used only on the scheduler's thread.
  */
 final class JobRegistry implements WorkerReportReconciler.Listener, JobProgressWriter.Listener {
+  /**
+   * How long a job may have begun before its row says so, in ms: callers may see counts of pending
+   * jobs that are this old.
+   */
+  private static final long MAX_UNRECORDED_BEGIN_MILLIS = 2_000;
+
+  /** A job that began at {@code sinceMillis}, monotonic ms. */
+  private record BegunJob(Job job, long sinceMillis) {}
+
   private final FleetClock clock;
   private final EventLog log;
   private final RowFormats rowFormats;
@@ -39,6 +50,10 @@
   private final TeamRate teamRate = new TeamRate();
   private final Map<String, Job> jobsById = new LinkedHashMap<>();
   private final Map<String, TeamUsage> usageByTeam = new TreeMap<>();
+
+  /** The jobs whose rows may not say yet that they have begun, in the order of their beginnings. */
+  private final Queue<BegunJob> begunJobs = new ArrayDeque<>();
+
   private JobProgressWriter progressWriter;
   private TaskCommandSender commandSender;
   private boolean placementRequested;
@@ -78,6 +93,7 @@
 
   void reset() {
     jobsById.clear();
+    begunJobs.clear();
     usageByTeam.clear();
     teamRate.reset();
     demandRate.reset();
@@ -165,7 +181,6 @@
       task.movedToRestartedWorker = worker.entry.incarnation() != attempt.workerIncarnation();
       task.startDoubt = workers.doubtAboutPredecessor();
     }
-    job.startAccepted = job.hasEndedAttempt();
     if (job.allTasksDone()) {
       finish(job, JobState.COMPLETED);
     }
@@ -338,7 +353,7 @@
   @Override
   public void onStarted(Task task) {
     task.phase = TaskPhase.RUNNING;
-    task.job.startAccepted = true;
+    recordBegin(task.job);
     task.restored = false;
     task.confirmedMillis = clock.monotonicMillis();
     log.log(
@@ -355,6 +370,30 @@
         clock.wallMillis() - task.job.spec.acceptedMillis());
   }
 
+  /** Records that a worker has accepted a start of a job, in its row only after some time. */
+  private void recordBegin(Job job) {
+    if (!job.startAccepted) {
+      job.startAccepted = true;
+      job.changeBeforeBegin = job.lastChange;
+      begunJobs.add(new BegunJob(job, clock.monotonicMillis()));
+    }
+  }
+
+  /**
+   * Has the rows of jobs written that began {@link #MAX_UNRECORDED_BEGIN_MILLIS} ago and have not
+   * changed since, so that the next scheduler knows that they have begun also if their workers do
+   * not respond.
+   */
+  void recordBegunJobsIfDue(long nowMillis) {
+    while (!begunJobs.isEmpty()
+        && nowMillis - begunJobs.peek().sinceMillis() >= MAX_UNRECORDED_BEGIN_MILLIS) {
+      Job job = begunJobs.poll().job();
+      if (job.lastChange == job.changeBeforeBegin && !job.state.isFinal()) {
+        progressWriter.recordChange(job, false);
+      }
+    }
+  }
+
   @Override
   public void onRunningAfterRestart(Task task) {
     task.movedToRestartedWorker = false;
@@ -391,7 +430,7 @@
       durationModel.recordDuration(task.job.spec.queue(), task.step, runMillis);
       task.ranMillis = runMillis;
     }
-    task.job.startAccepted = true;
+    recordBegin(task.job);
     quarantine.recordEnd(task.worker, task, false, clock.monotonicMillis());
     release(task, TaskPhase.DONE, "done");
     if (task.job.state.isFinal()) {
@@ -406,7 +445,7 @@
 
   @Override
   public void onFailed(Task task) {
-    task.job.startAccepted = true;
+    recordBegin(task.job);
     quarantine.recordEnd(task.worker, task, true, clock.monotonicMillis());
     task.failures++;
     task.failedWorkerIds.add(task.worker.entry.id());
@@ -424,7 +463,7 @@
 
   @Override
   public void onInterrupted(Task task, String reason) {
-    task.job.startAccepted = true;
+    recordBegin(task.job);
     release(task, TaskPhase.WAITING, reason);
     if (!task.job.state.isFinal()) {
       progressWriter.recordChange(task.job, false);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PendingJobCounts.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PendingJobCounts.java
@@ -18,6 +18,12 @@
   /** Interval between two writes, in ms; the counts that callers see may be up to 2 s old. */
   private static final long WRITE_INTERVAL_MILLIS = 1_000;
 
+  /**
+   * How long after a takeover the first reports of workers are waited for, in ms. A worker that is
+   * reachable responds in a fraction of it.
+   */
+  private static final long MAX_REPORT_WAIT_MILLIS = 300;
+
   private static final RowKey KEY = new RowKey("counts", JobRows.MAIN_PARTITION, "pending");
 
   private final RowStore store;
@@ -26,6 +32,9 @@
   private long nextWriteMillis;
   private boolean commitPending;
 
+  /** When the first counts after a takeover are written at the latest, monotonic ms. */
+  private long latestFirstWriteMillis;
+
   /** Incremented by each reset; outcomes of transactions sent before it are ignored. */
   private long generation;
 
@@ -58,8 +67,17 @@
     commitPending = false;
   }
 
+  /** Delays the first counts until the workers have reported which of the jobs they run. */
+  void onJobsRestored(long nowMillis) {
+    latestFirstWriteMillis = nowMillis + MAX_REPORT_WAIT_MILLIS;
+  }
+
   /** Writes the counts of {@code jobs} if a write is due and they have changed. */
   void writeIfDue(Collection<Job> jobs, long nowMillis) {
+    if (nowMillis < latestFirstWriteMillis && jobs.stream().anyMatch(Job::hasUncheckedStart)) {
+      return;
+    }
+    latestFirstWriteMillis = Long.MIN_VALUE;
     if (commitPending || nowMillis < nextWriteMillis || !lease.isValid()) {
       return;
     }
@@ -88,13 +106,15 @@
   }
 
   /**
-   * Returns how many jobs of each queue are pending. A job is pending until a worker has accepted
-   * the start of one of its tasks: an assignment alone may still be withdrawn.
+   * Returns how many jobs of each queue are pending. A job is pending until a worker is known to
+   * have accepted the start of one of its tasks: an assignment alone may still be withdrawn, and a
+   * start that an earlier scheduler may have sent to a worker that does not respond may have had no
+   * effect.
    */
   static Map<String, Long> countByQueue(Collection<Job> jobs) {
     Map<String, Long> counts = new TreeMap<>();
     for (Job job : jobs) {
-      if (!job.hasBegun() && !job.state.isFinal() && !job.cancelRequested) {
+      if (!job.startAccepted && !job.state.isFinal() && !job.cancelRequested) {
         counts.merge(job.spec.queue(), 1L, Long::sum);
       }
     }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
@@ -13,14 +13,15 @@
 /**
  * Encodes and decodes the row that holds the progress of a job.
  *
- * <p>The row is a JSON object of the job's state and of its tasks, which are nested arrays by
- * occurrence, step and index. A task that has never been assigned is 0 and one that is done is 1;
- * any other task is an array of attempt, failures, worker (empty if the attempt has ended), the
- * worker's incarnation, and checkpoint.
+ * <p>The row is a JSON object of the job's state, of whether a worker is known to have accepted a
+ * start, and of its tasks, which are nested arrays by occurrence, step and index. A task that has
+ * never been assigned is 0 and one that is done is 1; any other task is an array of attempt,
+ * failures, worker (empty if the attempt has ended), the worker's incarnation, and checkpoint.
  */
 final class ProgressRow {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final String STATE = "state";
+  private static final String BEGUN = "begun";
   private static final String TASKS = "tasks";
 
   /** A stored attempt whose start may have been sent to its worker. */
@@ -31,6 +32,7 @@
   static String encode(Job job) {
     ObjectNode row = JsonNodeFactory.instance.objectNode();
     row.put(STATE, job.state.name());
+    row.put(BEGUN, job.startAccepted);
     ArrayNode occurrences = row.putArray(TASKS);
     for (ImmutableList<ImmutableList<Task>> steps : job.occurrences()) {
       ArrayNode stepNodes = occurrences.addArray();
@@ -97,6 +99,8 @@
         }
       }
     }
+    // An earlier version did not store whether the job has begun.
+    job.startAccepted = root.path(BEGUN).asBoolean(job.hasTaskKnownToHaveRun());
     job.forEachTask(
         task -> {
           // An earlier version stored the members of a gang with checkpoints of their own.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -297,6 +297,7 @@
     commandSender.stopLongRunningOnDraining(workers.all());
     placementRounds.placeIfDue(now);
     autoscaler.adjustPools(placement.backlog(), now);
+    jobs.recordBegunJobsIfDue(now);
     progressWriter.commitIfDue(now);
     pendingCounts.writeIfDue(jobs.all(), now);
     waveStatusWriter.writeIfDue(now);
@@ -321,6 +322,7 @@
     jobs.restore(earlyRows);
     earlyRows = ImmutableList.of();
     maintenance.onJobsRestored(clock.monotonicMillis());
+    pendingCounts.onJobsRestored(clock.monotonicMillis());
     maintenance.addWaves(waves);
     log.log(
         "scheduler.active",
@@ -328,6 +330,8 @@
         lease.epoch(),
         "jobs",
         jobs.all().size(),
+        "startsInDoubt",
+        jobs.all().stream().filter(job -> !job.startAccepted && job.hasUncheckedStart()).count(),
         "workers",
         workers.all().size(),
         "millis",
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -107,6 +108,23 @@
     }
   }
 
+  /** Returns the VMs in a pool that have a worker. */
+  List<String> vmsWithWorkers(String pool) {
+    return vms.entrySet().stream()
+        .filter(entry -> entry.getValue().pool.equals(pool))
+        .filter(entry -> !entry.getValue().workerId.isEmpty())
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  /** Crashes the worker on a VM, if there is one, without a restart. */
+  void crashWorkerOn(String id) {
+    FakeVm vm = vms.get(id);
+    if (!vm.workerId.isEmpty()) {
+      fleet.crashWorker(vm.workerId);
+    }
+  }
+
   /** Sets whether commands are executed and their responses are lost. */
   void setResponsesLost(boolean areLost) {
     responsesLost = areLost;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -400,6 +400,16 @@
     vmPlatform.orElseThrow().restartWorkerOn(vm);
   }
 
+  /** Returns the VMs in a pool that have a worker. */
+  public List<String> vmsWithWorkers(String pool) {
+    return vmPlatform.orElseThrow().vmsWithWorkers(pool);
+  }
+
+  /** Crashes the worker on a VM, if there is one, without a restart. */
+  public void crashWorkerOn(String vm) {
+    vmPlatform.orElseThrow().crashWorkerOn(vm);
+  }
+
   /** Sets whether the platform executes commands to VMs and its responses are lost. */
   public void setVmResponsesLost(boolean areLost) {
     vmPlatform.orElseThrow().setResponsesLost(areLost);
