A start is sent only while its job is known not to be cancelled

Callers saw: tasks of a cancelled job that started seconds after the acknowledgement, for as long as the scheduler could not read the cancellation.

Cause: the scheduling lease is renewed by transactions, and nothing said as of when its holder knew the cancellations. An assignment was committed without an expectation about the cancellation row, and a start was repeated, for long-running tasks without a limit, whatever its age.

Change: each write of a job's progress expects that its cancellation row is absent.

Whether the users' record is of this cause is not shown.

FakeRowStore can let the reads of jobs fail while transactions are answered.

--- a/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/NodeSettings.java
@@ -23,6 +23,8 @@
  * @param adviceAddress the address of the placement advice service; empty if there is none
  * @param maxLeaseMillis the longest lease that workers grant
  * @param maxStopMillis the longest time that a worker takes to stop a task
+ * @param maxCancellationMillis how long after the acknowledgement of its job's cancellation a task
+ *     may still start
  * @param handoverPauseMillis how long a new holder of the scheduling lease must wait before it
  *     sends an order to a VM to which the previous holder may have sent one
  * @param stopGraceMillis how long this process may continue to run after a request to stop, before
@@ -55,6 +57,7 @@
     Optional<InetSocketAddress> adviceAddress,
     long maxLeaseMillis,
     long maxStopMillis,
+    long maxCancellationMillis,
     long handoverPauseMillis,
     long stopGraceMillis,
     long finalStateRetentionMillis,
--- a/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SchedulerLoadMeasurements.java
@@ -114,6 +114,7 @@
                 /* leaseMillis= */ 5_400,
                 /* maxLeaseMillis= */ 5_400,
                 /* maxStopMillis= */ 400,
+                /* maxCancellationMillis= */ 3_000,
                 /* handoverPauseMillis= */ 3_000,
                 /* finalStateRetentionMillis= */ 120_000,
                 /* maintenanceMillis= */ 2_000,
--- a/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/CdsTrainingRun.java
@@ -85,6 +85,7 @@
         /* adviceAddress= */ Optional.of(unreachable),
         /* maxLeaseMillis= */ 6_000,
         /* maxStopMillis= */ 400,
+        /* maxCancellationMillis= */ 3_000,
         /* handoverPauseMillis= */ 3_000,
         /* stopGraceMillis= */ 1_000,
         /* finalStateRetentionMillis= */ 120_000,
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DecisionPartitionWriter.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DecisionPartitionWriter.java
@@ -40,7 +40,7 @@
   private static final int MAX_TRANSACTION_CHARACTERS = 400_000;
 
   /** Entries (expectations, puts and deletes) that the progress of a job needs. */
-  private static final int PROGRESS_ENTRIES = 2;
+  private static final int PROGRESS_ENTRIES = 3;
 
   /** Entries that the final state of a job needs at most. */
   private static final int FINAL_ENTRIES = 4;
@@ -172,18 +172,17 @@
     String jobId = job.spec.id();
     RowKey progressKey = JobRows.decisionKey(partition, jobId, Kind.PROGRESS);
     expectations.add(new Expectation(progressKey, job.progressRowVersion));
+    RowKey cancellationKey = JobRows.decisionKey(partition, jobId, Kind.CANCELLATION);
+    if (job.state != JobState.CANCELLED) {
+      expectations.add(new Expectation(cancellationKey, RowStore.ABSENT));
+    } else {
+      deletes.add(cancellationKey);
+    }
     if (!job.state.isFinal()) {
       String value = ProgressRow.encode(job);
       puts.add(new Put(progressKey, value));
       return value.length();
     }
-    if (job.state != JobState.CANCELLED) {
-      expectations.add(
-          new Expectation(
-              JobRows.decisionKey(partition, jobId, Kind.CANCELLATION), RowStore.ABSENT));
-    } else {
-      deletes.add(JobRows.decisionKey(partition, jobId, Kind.CANCELLATION));
-    }
     puts.add(
         new Put(
             JobRows.decisionKey(partition, jobId, Kind.FINAL), ProgressRow.encodeFinal(job.state)));
@@ -195,7 +194,7 @@
 
   private void applyOutcome(Outcome outcome, Map<Job, Long> sentChangeByJob, long sentMillis) {
     if (outcome instanceof Outcome.Committed committed) {
-      applyCommit(committed.version(), sentChangeByJob);
+      applyCommit(committed.version(), sentChangeByJob, sentMillis);
     } else if (outcome instanceof Outcome.Conflict conflict) {
       applyConflict(conflict, sentChangeByJob);
     } else {
@@ -214,11 +213,12 @@
     }
   }
 
-  private void applyCommit(long version, Map<Job, Long> sentChangeByJob) {
+  private void applyCommit(long version, Map<Job, Long> sentChangeByJob, long sentMillis) {
     List<Job> committed = new ArrayList<>();
     sentChangeByJob.forEach(
         (job, sentChange) -> {
           job.lastCommittedChange = sentChange;
+          job.notCancelledAtMillis = sentMillis;
           job.progressRowVersion = version;
           boolean isFinalCommitted = job.state.isFinal() && !job.hasUncommittedChange();
           job.finalCommitted |= isFinalCommitted;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -13,6 +13,7 @@
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.TaskId;
+import org.sassafraslink.scheduler.cancellation.StartBound;
 import org.sassafraslink.scheduler.queue.SizeClass;
 
 /**
@@ -51,6 +52,12 @@
   /** Whether its submitter has requested its cancellation. */
   boolean cancelRequested;
 
+  /**
+   * The latest time at which a transaction has shown that no cancellation of it was stored,
+   * monotonic ms; {@link JobFeed#readAtMillis} may be later.
+   */
+  long notCancelledAtMillis = StartBound.NEVER;
+
   /**
    * Whether a worker is known to have accepted the start of one of its tasks. A start that may have
    * been accepted does not count: if its worker is lost, nobody runs the job.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
@@ -10,6 +10,7 @@
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.TransferObserver;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.cancellation.StartBound;
 
 /**
  * Reads all rows of jobs, then long-polls the store for changed ones, such as new submissions and
@@ -50,6 +51,10 @@
   /** The version up to which all changes have been read; -1 if a full read is needed. */
   private long readVersion = -1;
 
+  /** All rows that were stored at this time have been read, monotonic ms. */
+  private long readAtMillis = StartBound.NEVER;
+
+  private long fullReadStartMillis;
   private long nextCallMillis;
 
   /** Incremented by each reset; responses to earlier long polls are ignored. */
@@ -70,6 +75,7 @@
     fullRead = Optional.empty();
     loaded = false;
     readVersion = -1;
+    readAtMillis = StartBound.NEVER;
     nextCallMillis = 0;
   }
 
@@ -77,15 +83,24 @@
     return loaded;
   }
 
+  /**
+   * Returns a time such that all rows that were stored then have been passed to the listener,
+   * monotonic ms.
+   */
+  long readAtMillis() {
+    return readAtMillis;
+  }
+
   /** Starts or continues a full read, or sends the next long poll, unless a call is pending. */
   void readIfDue(long nowMillis) {
     if (pollPending || nowMillis < nextCallMillis) {
       return;
     }
     if (readVersion >= 0) {
-      poll();
+      poll(nowMillis);
     } else {
       if (fullRead.isEmpty()) {
+        fullReadStartMillis = nowMillis;
         fullRead =
             Optional.of(
                 TableRead.create(
@@ -99,7 +114,7 @@
     }
   }
 
-  private void poll() {
+  private void poll(long nowMillis) {
     pollPending = true;
     long sentGeneration = generation;
     store.readChanges(
@@ -109,7 +124,7 @@
         result -> {
           if (generation == sentGeneration) {
             pollPending = false;
-            applyChanges(result);
+            applyChanges(result, nowMillis);
           }
         });
   }
@@ -124,6 +139,7 @@
     public void onComplete(ImmutableList<StoredRow> rows, long version) {
       fullRead = Optional.empty();
       readVersion = version;
+      readAtMillis = fullReadStartMillis;
       if (loaded) {
         listener.onChanged(rows);
       } else {
@@ -133,9 +149,10 @@
     }
   }
 
-  private void applyChanges(Either<CallFailure, Rows> result) {
+  private void applyChanges(Either<CallFailure, Rows> result, long sentMillis) {
     if (result.isRight()) {
       readVersion = result.get().version();
+      readAtMillis = sentMillis;
       listener.onChanged(result.get().rows());
       return;
     }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -394,6 +394,14 @@
     }
   }
 
+  /** Has the row of a job written, which shows whether its cancellation has been stored. */
+  void checkCancellation(Job job) {
+    if (!job.hasUncommittedChange()) {
+      log.log("job.cancellation_unknown", "job", job.spec.id());
+      progressWriter.recordChange(job, true);
+    }
+  }
+
   @Override
   public void onRunningAfterRestart(Task task) {
     task.movedToRestartedWorker = false;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -128,6 +128,7 @@
             settings,
             workers,
             evacuations::startAction,
+            jobFeed::readAtMillis,
             new TaskCommandListener());
     jobs.setWriterAndSender(progressWriter, commandSender);
     this.workerReportReconciler =
@@ -428,6 +429,11 @@
       jobs.release(task, TaskPhase.WAITING, reason);
     }
 
+    @Override
+    public void onCancellationUnknown(Job job) {
+      jobs.checkCancellation(job);
+    }
+
     @Override
     public void onStartWithdrawn(Task task) {
       evacuations.withdraw(task);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerSettings.java
@@ -14,6 +14,8 @@
  * @param leaseMillis the lease granted to a worker: how long it may run tasks without a renewal
  * @param maxLeaseMillis the duration to which workers shorten a longer lease
  * @param maxStopMillis how long a worker takes at most to stop a task
+ * @param maxCancellationMillis how long after the acknowledgement of its job's cancellation a task
+ *     may still start
  * @param handoverPauseMillis the time that must pass between the commands of two successive holders
  *     of the scheduling lease to the same VM
  * @param finalStateRetentionMillis how long the final state of a job is kept at least
@@ -35,6 +37,7 @@
     long leaseMillis,
     long maxLeaseMillis,
     long maxStopMillis,
+    long maxCancellationMillis,
     long handoverPauseMillis,
     long finalStateRetentionMillis,
     long maintenanceMillis,
@@ -81,6 +84,7 @@
         leaseMillis,
         node.maxLeaseMillis(),
         node.maxStopMillis(),
+        node.maxCancellationMillis(),
         node.handoverPauseMillis(),
         node.finalStateRetentionMillis(),
         node.maintenanceMillis(),
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.TaskId;
@@ -13,6 +14,7 @@
 import org.sassafraslink.api.fleet.WorkerClient.Start;
 import org.sassafraslink.api.fleet.WorkerClient.TaskReply;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.cancellation.StartBound;
 import org.sassafraslink.scheduler.incarnation.LateCommandBounds;
 import org.sassafraslink.scheduler.placement.EvacuatedZones;
 import org.sassafraslink.scheduler.placement.EvacuatedZones.StartAction;
@@ -53,6 +55,12 @@
     /** Called when the attempt has not started and can no longer start. */
     void onNotStarted(Task task, String reason);
 
+    /**
+     * Called when a start is not sent because the job may have been cancelled since it was last
+     * known not to be.
+     */
+    void onCancellationUnknown(Job job);
+
     /** Called when a start that was not sent must not be sent to its worker any more. */
     void onStartWithdrawn(Task task);
 
@@ -78,6 +86,8 @@
   private final LateCommandBounds lateCommands;
   private final WorkerRegistry workers;
   private final StartPolicy startPolicy;
+  private final LongSupplier feedReadAtMillis;
+  private final StartBound startBound;
   private final Listener listener;
 
   /** Tasks with a start or stop command that the worker has not accepted. */
@@ -94,6 +104,7 @@
       SchedulerSettings settings,
       WorkerRegistry workers,
       StartPolicy startPolicy,
+      LongSupplier feedReadAtMillis,
       Listener listener) {
     this.client = client;
     this.clock = clock;
@@ -104,6 +115,8 @@
     this.lateCommands = settings.lateCommandBounds();
     this.workers = workers;
     this.startPolicy = startPolicy;
+    this.feedReadAtMillis = feedReadAtMillis;
+    this.startBound = new StartBound(settings.maxCancellationMillis());
     this.listener = listener;
   }
 
@@ -271,7 +284,16 @@
     } else {
       task.startWithheldMillis = 0;
     }
-    return action == StartAction.SEND;
+    return action == StartAction.SEND && isKnownUncancelled(task.job, now);
+  }
+
+  private boolean isKnownUncancelled(Job job, long nowMillis) {
+    long notCancelledAtMillis = Math.max(job.notCancelledAtMillis, feedReadAtMillis.getAsLong());
+    boolean isKnown = startBound.maySend(notCancelledAtMillis, nowMillis);
+    if (!isKnown) {
+      listener.onCancellationUnknown(job);
+    }
+    return isKnown;
   }
 
   /**
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/cancellation/StartBound.java
@@ -0,0 +1,35 @@
+package org.sassafraslink.scheduler.cancellation;
+
+/**
+ * Decides until when the start of a task may be sent, given as of when its job is known not to be
+ * cancelled.
+ *
+ * <p>A cancellation is acknowledged only after it is stored. So a job without a stored cancellation
+ * at some time may start tasks for {@code maxCancellationMillis} after it.
+ *
+ * @param maxCancellationMillis how long after the acknowledgement of its job's cancellation a task
+ *     may start, in ms
+ */
+public record StartBound(long maxCancellationMillis) {
+  /** Part of the bound until which a start may be sent; the rest is left for its way. */
+  private static final double SENDING_FRACTION = 2.0 / 3;
+
+  /** A time before all others at which a job is known not to be cancelled, monotonic ms. */
+  public static final long NEVER = Long.MIN_VALUE / 2;
+
+  /**
+   * Returns whether a start may be sent.
+   *
+   * @param notCancelledAtMillis the latest time at which the job is known to have had no stored
+   *     cancellation, monotonic ms
+   * @param nowMillis monotonic ms
+   */
+  public boolean maySend(long notCancelledAtMillis, long nowMillis) {
+    return nowMillis < latestSendMillis(notCancelledAtMillis);
+  }
+
+  /** Returns until when a start may be sent, monotonic ms; see {@link #maySend}. */
+  public long latestSendMillis(long notCancelledAtMillis) {
+    return notCancelledAtMillis + (long) (maxCancellationMillis * SENDING_FRACTION);
+  }
+}
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
@@ -45,6 +45,7 @@
               /* leaseMillis= */ 5_400,
               /* maxLeaseMillis= */ 5_400,
               /* maxStopMillis= */ 400,
+              /* maxCancellationMillis= */ 3_000,
               /* handoverPauseMillis= */ 3_000,
               /* finalStateRetentionMillis= */ 1,
               /* maintenanceMillis= */ 2_000,
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -84,6 +84,7 @@
               /* leaseMillis= */ 5_400,
               /* maxLeaseMillis= */ 5_400,
               /* maxStopMillis= */ 400,
+              /* maxCancellationMillis= */ 3_000,
               PAUSE_MILLIS,
               /* finalStateRetentionMillis= */ 1,
               /* maintenanceMillis= */ 2_000,
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.scheduler.JobRows;
 
 /** An in-memory row store that can simulate failures for the calls of each node separately. */
 public final class FakeRowStore {
@@ -22,6 +23,8 @@
     NORMAL,
     /** Lets calls fail at once without executing them. */
     FAILS_CALLS,
+    /** Lets reads and long polls of the table of jobs fail at once; responds to all other calls. */
+    FAILS_READS_OF_JOBS,
     /** Neither executes calls nor responds to them. */
     UNRESPONSIVE,
     /** Applies transactions, but their responses are lost; responds to reads. */
@@ -291,7 +294,7 @@
     public void commit(Transaction requested, Consumer<Outcome> done) {
       Transaction transaction = withoutDisabledChecks(requested);
       switch (behavior()) {
-        case NORMAL -> {
+        case NORMAL, FAILS_READS_OF_JOBS -> {
           if (transactionMillis > 0) {
             commitInTurn(transaction, done);
           } else {
@@ -372,6 +375,7 @@
     @Override
     public void read(Range range, Consumer<Either<CallFailure, Rows>> done) {
       respondIfReachable(
+          range.table(),
           done,
           () -> {
             ImmutableList.Builder<StoredRow> found = ImmutableList.builder();
@@ -395,7 +399,7 @@
         String table, long sinceVersion, int waitMillis, Consumer<Either<CallFailure, Rows>> done) {
       Consumer<Either<CallFailure, Boolean>> onReachable =
           reachable -> pollChanges(table, sinceVersion, waitMillis, reachable, done);
-      respondIfReachable(onReachable, () -> Either.right(true));
+      respondIfReachable(table, onReachable, () -> Either.right(true));
     }
 
     private void pollChanges(
@@ -424,7 +428,9 @@
               .collect(ImmutableList.toImmutableList());
       if (!changed.isEmpty() || waitMillis <= 0) {
         done.accept(Either.right(new Rows(changed, false, lastVersion, storeMillis())));
-      } else if (behavior() != Behavior.NORMAL && behavior() != Behavior.LOSES_RESPONSES) {
+      } else if (behavior() != Behavior.NORMAL
+          && behavior() != Behavior.LOSES_RESPONSES
+          && behavior() != Behavior.FAILS_READS_OF_JOBS) {
         clock.runAfter(waitMillis, () -> done.accept(Either.left(CallFailure.OUTCOME_UNKNOWN)));
       } else {
         clock.runAfter(
@@ -433,8 +439,13 @@
     }
 
     private <T> void respondIfReachable(
+        String table,
         Consumer<Either<CallFailure, T>> done,
         java.util.function.Supplier<Either<CallFailure, T>> response) {
+      if (behavior() == Behavior.FAILS_READS_OF_JOBS && table.equals(JobRows.TABLE)) {
+        clock.runAfter(2, () -> done.accept(Either.left(CallFailure.NOT_PERFORMED)));
+        return;
+      }
       switch (behavior()) {
         case FAILS_CALLS ->
             clock.runAfter(2, () -> done.accept(Either.left(CallFailure.NOT_PERFORMED)));
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -455,6 +455,11 @@
     return workersIn(pool).count();
   }
 
+  /** Returns the ids of the workers in a pool. */
+  public ImmutableList<String> workerIds(String pool) {
+    return workersIn(pool).map(worker -> worker.id).collect(ImmutableList.toImmutableList());
+  }
+
   /** Returns how many workers run in a pool on VMs of a zone. */
   public long workerCountInZone(String zone, String pool) {
     return workersIn(pool)
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/TestNodeSettings.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/TestNodeSettings.java
@@ -40,6 +40,7 @@
         /* adviceAddress= */ Optional.empty(),
         maxLeaseMillis,
         /* maxStopMillis= */ FakeWorker.STOP_DURATION_MILLIS,
+        /* maxCancellationMillis= */ 3_000,
         /* handoverPauseMillis= */ FakeVmPlatform.HANDOVER_PAUSE_MILLIS,
         /* stopGraceMillis= */ 1_000,
         /* finalStateRetentionMillis= */ 120_000,
