Changes of jobs are read while long polls are silent

Callers saw: tasks that ran on for as long as the store's long polls were silent, although their job's cancellation was acknowledged and all other calls to the store were answered.

Cause: a long poll that failed or got no answer was repeated without an end, and nothing bounded the age of what had been read.

Change: if all that has been read is older than 2.5 s, all rows of jobs are read as after a lost history, also while a long poll is pending.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
@@ -23,6 +23,12 @@
   /** How long a long poll waits at the store for a change, in ms. */
   private static final int LONG_POLL_MILLIS = 1_000;
 
+  /**
+   * Age of what has been read from which on all rows are read instead of waiting for a long poll,
+   * in ms. While long polls are answered, it stays below two of them.
+   */
+  private static final long MAX_READ_AGE_MILLIS = 2_500;
+
   /** Delay before a failed call is repeated, in ms. */
   private static final long RETRY_DELAY_MILLIS = 100;
 
@@ -93,6 +99,9 @@
 
   /** Starts or continues a full read, or sends the next long poll, unless a call is pending. */
   void readIfDue(long nowMillis) {
+    if (readVersion >= 0 && nowMillis - readAtMillis > MAX_READ_AGE_MILLIS) {
+      abandonPolls(nowMillis);
+    }
     if (pollPending || nowMillis < nextCallMillis) {
       return;
     }
@@ -114,6 +123,15 @@
     }
   }
 
+  /** Replaces the long polls, which have been silent or have failed, by a full read. */
+  private void abandonPolls(long nowMillis) {
+    log.log("jobs.feed_silent", "after", readVersion, "age", nowMillis - readAtMillis);
+    generation++;
+    pollPending = false;
+    readVersion = -1;
+    nextCallMillis = nowMillis;
+  }
+
   private void poll(long nowMillis) {
     pollPending = true;
     long sentGeneration = generation;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/cancellation/UnreadCancellationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/cancellation/UnreadCancellationTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.scheduler.sim.FakeRowStore.Behavior;
@@ -29,6 +30,8 @@
   /** How long after its cancellation a job may start tasks, in ms. */
   private static final int MAX_CANCELLATION_MILLIS = 3_000;
 
+  private static final int MAX_STOP_MILLIS = 400;
+
   /** What keeps the scheduler from reading changes of jobs. */
   private enum ReadFault {
     LONG_POLLS_SILENT {
@@ -111,6 +114,22 @@
     }
   }
 
+  /** Guards against tasks that run on because no long poll tells of the cancellation. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 400, 900, 1_500, 2_400, 5_000})
+  void runningTasksAreStopped(int silentForMillis) {
+    SimFleet fleet = startFleet(silentForMillis);
+    fleet.multiplyTaskTimes(100);
+    fleet.submitToOpenQueue("job", POOL, SimFleet.step(6, 1_000));
+    fleet.runFor(300);
+    assertEquals(6, fleet.runningAttemptCount());
+    fleet.rowStore.silenceLongPolls(FAULT_MILLIS);
+    fleet.runFor(silentForMillis);
+    fleet.cancel("job");
+    fleet.runFor(MAX_CANCELLATION_MILLIS + MAX_STOP_MILLIS);
+    assertEquals(0, fleet.runningAttemptCount());
+  }
+
   /** Guards against a start that is repeated until its worker is reached after the cancellation. */
   @ParameterizedTest
   @CsvSource({"LONG_POLLS_SILENT, 300", "READS_FAIL, 300", "READS_FAIL, 1200", "READS_FAIL, 2000"})
