Each answer to a cancelling, and each cancellation that a scheduler finds, has a line

Change: job.cancel_answered with the result, the state that was read, whether a read or a transaction of this request proves it, its version, the reads and the ms; job.cancellation_found with its source and the version of the row. Both are counted, the first by result, and its ms are in the histogram of hops. No decision changes.

--- a/entry/src/main/java/org/sassafraslink/entry/job/JobCanceller.java
+++ b/entry/src/main/java/org/sassafraslink/entry/job/JobCanceller.java
@@ -39,6 +39,16 @@
     OUTCOME_UNKNOWN
   }
 
+  /** What shows that a result is true, as {@code job.cancel_answered} names it. */
+  private enum Proof {
+    /** Rows that were read after the request arrived. */
+    READ,
+    /** A transaction of this request. */
+    COMMIT,
+    /** Nothing: the result claims neither a cancelled job nor that there is none. */
+    NONE
+  }
+
   /** Most retries of a cancellation; after them the outcome is reported as unknown. */
   private static final int MAX_RETRIES = 6;
 
@@ -91,8 +101,12 @@
     private final String jobId;
     private final long deadlineMillis;
     private final Consumer<Result> callback;
+    private final long receivedMillis = clock.monotonicMillis();
     private int retries;
 
+    /** The rows that were read last; empty until a read succeeds. */
+    private Optional<JobStateReader.StateRows> lastRead = Optional.empty();
+
     /** Whether a transaction may have been applied or may still be applied. */
     private boolean possiblyStored;
 
@@ -115,15 +129,16 @@
     }
 
     private void applyState(JobStateReader.StateRows stored) {
+      lastRead = Optional.of(stored);
       Optional<JobState> state = stored.state();
       if (state.isEmpty() && !stored.isCancelledId()) {
         insertCancelledId();
       } else if (state.isEmpty()) {
-        callback.accept(Result.NO_SUCH_JOB);
+        answer(Result.NO_SUCH_JOB, Proof.READ, stored.newestVersion());
       } else if (state.get() == JobState.CANCELLED) {
-        callback.accept(Result.CANCELLED);
+        answer(Result.CANCELLED, Proof.READ, stored.newestVersion());
       } else if (state.get().isFinal()) {
-        callback.accept(Result.NO_SUCH_JOB);
+        answer(Result.NO_SUCH_JOB, Proof.READ, stored.newestVersion());
       } else {
         insertCancellation(stored.decisionPartition());
       }
@@ -133,7 +148,7 @@
       cancelledIdTokens = cancelledIdTokens.refill(clock.monotonicMillis());
       if (!cancelledIdTokens.hasToken()) {
         log.log("job.cancel_limited", "job", jobId);
-        callback.accept(possiblyStored ? Result.OUTCOME_UNKNOWN : Result.LIMITED);
+        answerWithoutProof(possiblyStored ? Result.OUTCOME_UNKNOWN : Result.LIMITED);
         return;
       }
       cancelledIdTokens = cancelledIdTokens.take();
@@ -160,8 +175,8 @@
           new Transaction(expectations, ImmutableList.of(put), ImmutableList.of()),
           outcome -> {
             log.log(event, "job", jobId, "outcome", outcome);
-            if (outcome instanceof Outcome.Committed) {
-              callback.accept(result);
+            if (outcome instanceof Outcome.Committed committed) {
+              answer(result, Proof.COMMIT, committed.version());
             } else if (outcome instanceof Outcome.Failed failed) {
               possiblyStored |= failed.failure() != CallFailure.NOT_PERFORMED;
               retryAfter(failed.failure());
@@ -170,7 +185,7 @@
               retries++;
               readState();
             } else {
-              callback.accept(Result.OUTCOME_UNKNOWN);
+              answerWithoutProof(Result.OUTCOME_UNKNOWN);
             }
           });
     }
@@ -181,11 +196,35 @@
         retries++;
         readState();
       } else {
-        callback.accept(
+        answerWithoutProof(
             failure == CallFailure.NOT_PERFORMED && !possiblyStored
                 ? Result.NOT_PERFORMED
                 : Result.OUTCOME_UNKNOWN);
       }
     }
+
+    private void answerWithoutProof(Result result) {
+      answer(result, Proof.NONE, RowStore.ABSENT);
+    }
+
+    private void answer(Result result, Proof proof, long version) {
+      log.log(
+          "job.cancel_answered",
+          "job",
+          jobId,
+          "result",
+          result,
+          "state",
+          lastRead.map(JobStateReader.StateRows::describeState).orElse("UNREAD"),
+          "proof",
+          proof,
+          "version",
+          version,
+          "tries",
+          retries + 1,
+          "millis",
+          clock.monotonicMillis() - receivedMillis);
+      callback.accept(result);
+    }
   }
 }
--- a/entry/src/main/java/org/sassafraslink/entry/job/JobStateReader.java
+++ b/entry/src/main/java/org/sassafraslink/entry/job/JobStateReader.java
@@ -41,6 +41,16 @@
     boolean isCancelledId() {
       return JobRows.findRow(rows, Kind.ENDED).map(JobRows::isCancelledId).orElse(false);
     }
+
+    /** Returns the version of the newest row, or {@link RowStore#ABSENT} if there is none. */
+    long newestVersion() {
+      return rows.stream().mapToLong(StoredRow::version).max().orElse(RowStore.ABSENT);
+    }
+
+    /** Returns the name of the state, {@code CANCELLED_ID} or {@code NONE}, for the log. */
+    String describeState() {
+      return state().map(JobState::name).orElseGet(() -> isCancelledId() ? "CANCELLED_ID" : "NONE");
+    }
   }
 
   /**
--- a/entry/src/main/java/org/sassafraslink/entry/process/EventMetrics.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EventMetrics.java
@@ -26,6 +26,8 @@
   private static final ImmutableMap<String, String> KIND_FIELDS =
       ImmutableMap.<String, String>builder()
           .put("job.submitted", "outcome")
+          .put("job.cancel_answered", "result")
+          .put("job.cancellation_found", "source")
           .put("job.finished", "state")
           .put("task.ended", "how")
           .put("task.stop", "reason")
@@ -37,12 +39,14 @@
           .buildOrThrow();
 
   /**
-   * By event name, the field that holds the duration of a step of a job, the time since the job was
-   * accepted or finished, or how long the tasks of a silent worker have waited, in ms.
+   * By event name, the field that holds the duration of a step of a job or of a cancelling, the
+   * time since the job was accepted or finished, or how long the tasks of a silent worker have
+   * waited, in ms.
    */
   private static final ImmutableMap<String, String> DURATION_FIELDS =
       ImmutableMap.of(
           "job.submitted", "millis",
+          "job.cancel_answered", "millis",
           "job.seen", "sinceAccepted",
           "task.started", "sinceAccepted",
           "task.ended", "ran",
--- a/entry/src/test/java/org/sassafraslink/entry/job/EntryVms.java
+++ b/entry/src/test/java/org/sassafraslink/entry/job/EntryVms.java
@@ -30,6 +30,10 @@
   static final int WAIT_MILLIS = 3_000;
 
   final LateRowStore store = new LateRowStore();
+
+  /** Receives the events of the handlers of job requests. */
+  EventLog.Observer eventObserver = (event, fields) -> {};
+
   private final List<JobRequestHandler> handlers = new ArrayList<>();
   private final Queue<Timer> timers =
       new PriorityQueue<>((a, b) -> Long.compare(a.millis(), b.millis()));
@@ -94,7 +98,12 @@
             new HealthyStore(),
             id -> {});
     return JobRequestHandler.create(
-        watcher, store, writer, new HealthyStore(), clock, EventLog.silent());
+        watcher,
+        store,
+        writer,
+        new HealthyStore(),
+        clock,
+        EventLog.silent().withObserver((event, fields) -> eventObserver.onEvent(event, fields)));
   }
 
   /** Runs the timers of the next {@code millis} ms. */
--- a/entry/src/test/java/org/sassafraslink/entry/job/LateRowStore.java
+++ b/entry/src/test/java/org/sassafraslink/entry/job/LateRowStore.java
@@ -63,6 +63,11 @@
     return rows.containsKey(storageKey(key));
   }
 
+  /** Returns the version of a row, which must be stored. */
+  long versionOf(RowKey key) {
+    return rows.get(storageKey(key)).version();
+  }
+
   int rowCount() {
     return rows.size();
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -16,6 +16,7 @@
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.JobState;
+import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.log.EventLog;
@@ -165,9 +166,8 @@
 
   private void restore(Job job, ImmutableList<StoredRow> rows) {
     JobRows.findRow(rows, Kind.PROGRESS).ifPresent(row -> restoreProgress(job, row));
-    if (JobRows.findRow(rows, Kind.CANCELLATION).isPresent()) {
-      cancel(job);
-    }
+    JobRows.findRow(rows, Kind.CANCELLATION)
+        .ifPresent(row -> cancel(job, "restore", row.version()));
   }
 
   private void restoreProgress(Job job, StoredRow progress) {
@@ -201,7 +201,7 @@
         decodeSubmission(id, row).ifPresent(spec -> addJob(spec, row));
       }
     } else if (kind.equals(Optional.of(Kind.CANCELLATION)) && job != null) {
-      cancel(job);
+      cancel(job, "feed", row.version());
     } else if (kind.equals(Optional.of(Kind.ENDED)) && JobRows.isCancelledId(row)) {
       finishedJobCleaner.addCancelledId(id, row);
     }
@@ -251,10 +251,20 @@
     return job;
   }
 
-  private void cancel(Job job) {
+  private void cancel(Job job, String source, long rowVersion) {
     if (job.cancelRequested || (job.state.isFinal() && job.finalCommitted)) {
       return;
     }
+    log.log(
+        "job.cancellation_found",
+        "job",
+        job.spec.id(),
+        "source",
+        source,
+        "version",
+        rowVersion,
+        "state",
+        job.state);
     job.cancelRequested = true;
     finish(job, JobState.CANCELLED);
   }
@@ -497,7 +507,7 @@
 
   @Override
   public void onCancellationFound(Job job) {
-    cancel(job);
+    cancel(job, "conflict", RowStore.ABSENT);
   }
 
   @Override
