--- a/entry/src/test/java/org/sassafraslink/entry/job/EntryVms.java
+++ b/entry/src/test/java/org/sassafraslink/entry/job/EntryVms.java
@@ -1,11 +1,14 @@
 package org.sassafraslink.entry.job;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.Set;
 import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.api.fleet.FleetSettings;
 import org.sassafraslink.api.fleet.RowStore.RowKey;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.entry.process.ConfigWatcher;
@@ -23,7 +26,7 @@
           + "\"service\":\"s\",\"auth\":\"open\"}],\"services\":[{\"name\":\"s\"}],"
           + "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"weight\":1}]}";
 
-  private static final String BODY =
+  static final String BODY =
       "{\"spec\":\"x\",\"phases\":[{\"count\":1,\"cpu\":500,\"memMb\":256,\"estimatedMs\":700}]}";
 
   /** How long callers wait for a response, in ms. */
@@ -39,6 +42,9 @@
       new PriorityQueue<>((a, b) -> Long.compare(a.millis(), b.millis()));
   private long nowMillis = 10_000;
 
+  private final Set<Integer> ended = new HashSet<>();
+  private final ConfigWatcher configWatcher;
+
   private record Timer(long millis, Runnable task) {}
 
   private final class SimulatedClock implements FleetClock {
@@ -67,8 +73,9 @@
 
   private EntryVms(int count) {
     store.put(new RowKey("op", "", "config"), CONFIG);
+    configWatcher = createConfigWatcher();
     for (int i = 0; i < count; i++) {
-      handlers.add(createHandler());
+      handlers.add(createHandler(i));
     }
   }
 
@@ -76,8 +83,25 @@
     return new EntryVms(count);
   }
 
-  private JobRequestHandler createHandler() {
-    FleetClock clock = new SimulatedClock();
+  FleetClock clock() {
+    return new SimulatedClock();
+  }
+
+  FleetSettings settings() {
+    return configWatcher.newestConfig().orElseThrow();
+  }
+
+  void runAfter(long millis, Runnable task) {
+    timers.add(new Timer(nowMillis + millis, task));
+  }
+
+  /** Ends the process of an entry VM: it sends no call and no response any more. */
+  void end(int vm) {
+    ended.add(vm);
+  }
+
+  private ConfigWatcher createConfigWatcher() {
+    FleetClock clock = clock();
     ConfigWatcher watcher =
         ConfigWatcher.create(
             new ResponseTrackingRowStore(store, clock),
@@ -89,16 +113,28 @@
             waves -> {},
             evacuations -> {});
     watcher.start();
+    return watcher;
+  }
+
+  private JobRequestHandler createHandler(int vm) {
+    FleetClock clock = clock();
     SubmissionWriter writer =
         SubmissionWriter.create(
             store,
             clock,
             EventLog.silent(),
-            (task, millis) -> timers.add(new Timer(nowMillis + millis, task)),
+            (task, millis) ->
+                runAfter(
+                    millis,
+                    () -> {
+                      if (!ended.contains(vm)) {
+                        task.run();
+                      }
+                    }),
             new HealthyStore(),
             id -> {});
     return JobRequestHandler.create(
-        watcher,
+        configWatcher,
         store,
         writer,
         new HealthyStore(),
@@ -135,6 +171,10 @@
     return send(vm, "POST", jobId, BODY);
   }
 
+  Call submit(int vm, String jobId, String body) {
+    return send(vm, "POST", jobId, body);
+  }
+
   Call cancel(int vm, String jobId) {
     return send(vm, "DELETE", jobId, "");
   }
@@ -149,7 +189,11 @@
         .get(vm)
         .handleRequest(
             new CallerRequest(method, "h", "/p/" + jobId, "k", body, nowMillis + WAIT_MILLIS),
-            response -> call.response = Optional.of(response));
+            response -> {
+              if (!ended.contains(vm)) {
+                call.response = Optional.of(response);
+              }
+            });
     return call;
   }
 }
--- a/entry/src/test/java/org/sassafraslink/entry/job/LateRowStore.java
+++ b/entry/src/test/java/org/sassafraslink/entry/job/LateRowStore.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -48,6 +49,11 @@
     beforeNextCommit = action;
   }
 
+  /** Discards the transactions that were received while the store was silent. */
+  void loseLate() {
+    lateTransactions.clear();
+  }
+
   /** Applies the transactions that were received while the store was silent, if they still can. */
   void applyLate() {
     lateTransactions.forEach(this::apply);
@@ -56,6 +62,10 @@
 
   void put(RowKey key, String value) {
     lastVersion++;
+    putAtLastVersion(key, value);
+  }
+
+  private void putAtLastVersion(RowKey key, String value) {
     rows.put(storageKey(key), new StoredRow(key, value, lastVersion, false));
   }
 
@@ -76,11 +86,23 @@
     return commits;
   }
 
+  /** Returns the rows of a table with a later version; deleted rows are not shown. */
+  Rows changedAfter(String table, long version) {
+    return new Rows(
+        rows.values().stream()
+            .filter(row -> row.key().table().equals(table) && row.version() > version)
+            .sorted(Comparator.comparingLong(StoredRow::version))
+            .collect(ImmutableList.toImmutableList()),
+        /* hasMore= */ false,
+        lastVersion);
+  }
+
   private static String storageKey(RowKey key) {
     return key.table() + '\1' + key.partition() + '\1' + key.key();
   }
 
-  private Outcome apply(Transaction transaction) {
+  /** Applies a transaction at once, whatever the behavior. */
+  Outcome apply(Transaction transaction) {
     ImmutableList.Builder<StoredRow> current = ImmutableList.builder();
     boolean isConflict = false;
     for (Expectation expectation : transaction.expectations()) {
@@ -93,7 +115,8 @@
     if (isConflict) {
       return new Outcome.Conflict(current.build());
     }
-    transaction.puts().forEach(put -> put(put.key(), put.value()));
+    lastVersion++;
+    transaction.puts().forEach(put -> putAtLastVersion(put.key(), put.value()));
     transaction.deletes().forEach(key -> rows.remove(storageKey(key)));
     return new Outcome.Committed(lastVersion);
   }
@@ -126,17 +149,19 @@
     } else if (behavior == Behavior.REJECTS_CALLS) {
       callback.accept(Either.left(CallFailure.NOT_PERFORMED));
     } else {
-      callback.accept(
-          Either.right(
-              new Rows(
-                  rows.values().stream()
-                      .filter(row -> isInside(row.key(), range))
-                      .collect(ImmutableList.toImmutableList()),
-                  /* hasMore= */ false,
-                  lastVersion)));
+      callback.accept(Either.right(rowsIn(range)));
     }
   }
 
+  Rows rowsIn(Range range) {
+    return new Rows(
+        rows.values().stream()
+            .filter(row -> isInside(row.key(), range))
+            .collect(ImmutableList.toImmutableList()),
+        /* hasMore= */ false,
+        lastVersion);
+  }
+
   private static boolean isInside(RowKey key, Range range) {
     return key.table().equals(range.table())
         && key.partition().equals(range.partition())
