--- a/api/src/main/java/org/sassafraslink/api/fleet/WorkerClient.java
+++ b/api/src/main/java/org/sassafraslink/api/fleet/WorkerClient.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -10,6 +11,10 @@
  *
  * <p>A worker stores the highest fencing token that it has seen and rejects orders with a lower
  * one. Each call invokes its callback {@code done} exactly once.
+ *
+ * <p>A call may wait for a connection, and its process may be suspended meanwhile. Each call
+ * therefore has a permission, which is asked on any thread right before the request is written.
+ * Without it, the call fails with {@link CallFailure#NOT_PERFORMED}.
  */
 public interface WorkerClient {
   /**
@@ -70,7 +75,10 @@
 
   /** Starts an attempt. Repeating the call has no further effect. */
   void start(
-      WorkerEntry worker, Start start, Consumer<Either<CallFailure, CommandResponse>> callback);
+      WorkerEntry worker,
+      Start start,
+      BooleanSupplier permission,
+      Consumer<Either<CallFailure, CommandResponse>> callback);
 
   /** Stops an attempt. If its start arrives at the worker later, the worker rejects it. */
   void stop(
@@ -78,6 +86,7 @@
       TaskId task,
       int attempt,
       long fencingToken,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, CommandResponse>> callback);
 
   /** Sets the speed at which an attempt works, as a percentage of full speed. */
@@ -87,6 +96,7 @@
       int attempt,
       int speedPercent,
       long fencingToken,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, CommandResponse>> callback);
 
   /**
@@ -96,5 +106,6 @@
   void pollReport(
       WorkerEntry worker,
       ReportRequest request,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, WorkerReport>> callback);
 }
--- a/bench/src/main/java/org/sassafraslink/bench/SimulatedWorkers.java
+++ b/bench/src/main/java/org/sassafraslink/bench/SimulatedWorkers.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.Resources;
@@ -116,7 +117,10 @@
 
   @Override
   public void start(
-      WorkerEntry target, Start start, Consumer<Either<CallFailure, CommandResponse>> callback) {
+      WorkerEntry target,
+      Start start,
+      BooleanSupplier permission,
+      Consumer<Either<CallFailure, CommandResponse>> callback) {
     clock.runAfter(
         COMMAND_MILLIS,
         () -> {
@@ -164,6 +168,7 @@
       TaskId task,
       int attempt,
       long fencingToken,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, CommandResponse>> callback) {
     clock.runAfter(COMMAND_MILLIS, () -> respond(callback, reply(TaskReply.ABSENT)));
   }
@@ -175,6 +180,7 @@
       int attempt,
       int speedPercent,
       long fencingToken,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, CommandResponse>> callback) {
     clock.runAfter(COMMAND_MILLIS, () -> respond(callback, reply(TaskReply.ACCEPTED)));
   }
@@ -183,6 +189,7 @@
   public void pollReport(
       WorkerEntry target,
       ReportRequest request,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, WorkerReport>> callback) {
     clock.runAfter(
         COMMAND_MILLIS,
--- a/entry/src/main/java/org/sassafraslink/entry/process/ExecutorBoundClients.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ExecutorBoundClients.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.AdviceClient;
 import org.sassafraslink.api.fleet.CallFailure;
@@ -53,8 +54,9 @@
       public void start(
           WorkerEntry worker,
           Start start,
+          BooleanSupplier permission,
           Consumer<Either<CallFailure, CommandResponse>> callback) {
-        client.start(worker, start, callbackOn(executor, callback));
+        client.start(worker, start, permission, callbackOn(executor, callback));
       }
 
       @Override
@@ -63,8 +65,10 @@
           TaskId task,
           int attempt,
           long fencingToken,
+          BooleanSupplier permission,
           Consumer<Either<CallFailure, CommandResponse>> callback) {
-        client.stop(worker, task, attempt, fencingToken, callbackOn(executor, callback));
+        client.stop(
+            worker, task, attempt, fencingToken, permission, callbackOn(executor, callback));
       }
 
       @Override
@@ -74,17 +78,25 @@
           int attempt,
           int percent,
           long fencingToken,
+          BooleanSupplier permission,
           Consumer<Either<CallFailure, CommandResponse>> callback) {
         client.setSpeed(
-            worker, task, attempt, percent, fencingToken, callbackOn(executor, callback));
+            worker,
+            task,
+            attempt,
+            percent,
+            fencingToken,
+            permission,
+            callbackOn(executor, callback));
       }
 
       @Override
       public void pollReport(
           WorkerEntry worker,
           ReportRequest request,
+          BooleanSupplier permission,
           Consumer<Either<CallFailure, WorkerReport>> callback) {
-        client.pollReport(worker, request, callbackOn(executor, callback));
+        client.pollReport(worker, request, permission, callbackOn(executor, callback));
       }
     };
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/BackfillThrottle.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/BackfillThrottle.java
@@ -94,6 +94,7 @@
         attempt,
         speedPercent,
         task.worker.fencingToken(lease.epoch()),
+        lease.commandPermission(),
         response -> {
           log.log(
               "task.paced",
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -16,6 +16,7 @@
 import org.sassafraslink.api.fleet.RowStore.Transaction;
 import org.sassafraslink.api.fleet.VmClient.Authority;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.command.CommandPermission;
 
 /**
  * Acquires, renews and releases the scheduling lease. Only its holder schedules.
@@ -130,8 +131,23 @@
    * command that is delayed until another process may hold the lease is not sent any more.
    */
   Authority authority() {
+    return new Authority(settings.node(), epoch(), commandPermission());
+  }
+
+  /** Returns the permission for a command to a worker, which ends with the lease. */
+  CommandPermission commandPermission() {
+    long commandEpoch = epoch();
+    return CommandPermission.of(() -> isValid() && epoch() == commandEpoch);
+  }
+
+  /**
+   * Returns the permission for a command that renews the lease of a worker. It holds until the end
+   * of the lease also if this process gives the lease up, so that the worker's tasks outlast the
+   * takeover.
+   */
+  CommandPermission renewalPermission() {
     long commandEpoch = epoch();
-    return new Authority(settings.node(), commandEpoch, () -> isValid() && epoch() == commandEpoch);
+    return CommandPermission.of(() -> validity.isValidAt(clock) && epoch() == commandEpoch);
   }
 
   boolean isHolding() {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -13,6 +13,7 @@
 import org.sassafraslink.api.fleet.WorkerClient.Start;
 import org.sassafraslink.api.fleet.WorkerClient.TaskReply;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.command.CommandPermission;
 import org.sassafraslink.scheduler.incarnation.LateCommandBounds;
 import org.sassafraslink.scheduler.placement.EvacuatedZones;
 import org.sassafraslink.scheduler.placement.EvacuatedZones.StartAction;
@@ -207,6 +208,7 @@
     long sentMillis = clock.monotonicMillis();
     long sentRegistration = worker.registration;
     long fencingToken = worker.fencingToken(lease.epoch());
+    CommandPermission permission = lease.commandPermission();
     java.util.function.Consumer<Either<CallFailure, CommandResponse>> onResponse =
         response -> {
           if (response.isRight()) {
@@ -216,7 +218,9 @@
               generation == sentGeneration && task.worker == worker && task.attempt == attempt;
           if (isCurrent) {
             task.commandPending = false;
-            if (isStart) {
+            if (permission.wasDenied()) {
+              retryUnsent(task, isStart);
+            } else if (isStart) {
               applyStartResponse(task, response, sentMillis, sentRegistration);
             } else {
               applyStopResponse(task, response, sentRegistration);
@@ -235,9 +239,9 @@
               task.ticket);
       task.startSent = true;
       task.startDoubt = task.startDoubt.afterSending(lateCommands, sentMillis);
-      client.start(worker.entry, start, onResponse);
+      client.start(worker.entry, start, permission, onResponse);
     } else {
-      client.stop(worker.entry, task.id, attempt, fencingToken, onResponse);
+      client.stop(worker.entry, task.id, attempt, fencingToken, permission, onResponse);
     }
   }
 
@@ -333,6 +337,20 @@
     }
   }
 
+  /** Sends a command again, if it is still allowed then, that its permission has kept back. */
+  private void retryUnsent(Task task, boolean wasStart) {
+    if (wasStart) {
+      task.startDoubt = task.startDoubt.afterResolving();
+      task.startSent = task.inconclusiveSends > 0;
+    }
+    if (wasStart && task.phase == TaskPhase.STOPPING) {
+      // The stop was not sent while the response to the start was pending.
+      send(task);
+    } else {
+      task.nextCommandMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
+    }
+  }
+
   /** Returns whether a response shows that no other incarnation runs the task or will run it. */
   private static boolean isConclusive(Either<CallFailure, CommandResponse> response) {
     return response.fold(
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -8,6 +8,7 @@
 import org.sassafraslink.api.fleet.WorkerClient.ReportRequest;
 import org.sassafraslink.api.fleet.WorkerReport;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.command.CommandPermission;
 
 /**
  * Renews the leases of workers and reads their reports, both with the same report requests.
@@ -177,13 +178,19 @@
     long sentRegistration = worker.registration;
     worker.reportRequestPending = true;
     long sentGeneration = generation;
+    CommandPermission permission = lease.renewalPermission();
     client.pollReport(
         worker.entry,
         request,
+        permission,
         response -> {
           if (generation == sentGeneration) {
             worker.reportRequestPending = false;
-            applyResponse(worker, response, acknowledgedEnd, sentRegistration, nowMillis);
+            if (permission.wasDenied()) {
+              worker.nextReportRequestMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
+            } else {
+              applyResponse(worker, response, acknowledgedEnd, sentRegistration, nowMillis);
+            }
           }
         });
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
@@ -263,6 +263,7 @@
         running.task(),
         running.attempt(),
         worker.fencingToken(lease.epoch()),
+        lease.commandPermission(),
         response -> log.log("task.stray_stopped", "task", running.task(), "answer", response));
   }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.AdviceClient;
 import org.sassafraslink.api.fleet.CallFailure;
@@ -69,6 +70,9 @@
   private CommandOutcome defaultCommandOutcome = CommandOutcome.RESPONSE_RECEIVED;
   private long lateCommandDelayMillis = DEFAULT_LATE_COMMAND_DELAY_MILLIS;
 
+  /** How long a command waits in this process before it is written, in ms. */
+  private long commandQueueMillis;
+
   /** Identifies this process: the name of the node, {@code @}, and the time of its start. */
   private final String address;
 
@@ -299,6 +303,14 @@
     lateCommandDelayMillis = millis;
   }
 
+  /**
+   * Sets how long commands wait in this process before they are written, in ms. A command that
+   * waits while the process is paused is written when it resumes.
+   */
+  public void setCommandQueueTime(long millis) {
+    commandQueueMillis = millis;
+  }
+
   public void setCommandOutcomeFor(String workerId, CommandOutcome outcome) {
     commandOutcomeByWorkerId.put(workerId, outcome);
   }
@@ -380,7 +392,35 @@
   }
 
   private final class SimWorkerClient implements WorkerClient {
+    /** Writes a command once it has waited, unless it is no longer permitted then. */
+    private <T> void writeIfPermitted(
+        BooleanSupplier permission, Consumer<Either<CallFailure, T>> done, Runnable write) {
+      Runnable check =
+          () -> {
+            if (permission.getAsBoolean()) {
+              write.run();
+            } else {
+              done.accept(Either.left(CallFailure.NOT_PERFORMED));
+            }
+          };
+      if (commandQueueMillis == 0) {
+        check.run();
+      } else {
+        fleet.clock.runAfter(
+            commandQueueMillis, () -> wrapCallback(ignored -> check.run()).accept(null));
+      }
+    }
+
     private void sendCommand(
+        WorkerEntry worker,
+        CommandKind kind,
+        BooleanSupplier permission,
+        java.util.function.Function<FakeWorker, Either<CallFailure, CommandResponse>> action,
+        Consumer<Either<CallFailure, CommandResponse>> done) {
+      writeIfPermitted(permission, done, () -> writeCommand(worker, kind, action, done));
+    }
+
+    private void writeCommand(
         WorkerEntry worker,
         CommandKind kind,
         java.util.function.Function<FakeWorker, Either<CallFailure, CommandResponse>> action,
@@ -475,7 +515,10 @@
 
     @Override
     public void start(
-        WorkerEntry worker, Start start, Consumer<Either<CallFailure, CommandResponse>> done) {
+        WorkerEntry worker,
+        Start start,
+        BooleanSupplier permission,
+        Consumer<Either<CallFailure, CommandResponse>> done) {
       fleet.startCommands.add(
           new StartCommand(
               fleet.clock.nowMillis(),
@@ -487,6 +530,7 @@
       sendCommand(
           worker,
           CommandKind.START,
+          permission,
           target -> {
             fleet.guaranteeChecker.runHistory().setCommandSent(sentMillis);
             boolean hasTicket =
@@ -504,9 +548,14 @@
         TaskId task,
         int attempt,
         long fencingToken,
+        BooleanSupplier permission,
         Consumer<Either<CallFailure, CommandResponse>> done) {
       sendCommand(
-          worker, CommandKind.STOP, target -> target.stop(task, attempt, fencingToken), done);
+          worker,
+          CommandKind.STOP,
+          permission,
+          target -> target.stop(task, attempt, fencingToken),
+          done);
     }
 
     @Override
@@ -516,12 +565,22 @@
         int attempt,
         int percent,
         long fencingToken,
+        BooleanSupplier permission,
         Consumer<Either<CallFailure, CommandResponse>> done) {
-      sendCommand(worker, CommandKind.SPEED, target -> target.reply(TaskReply.ACCEPTED), done);
+      sendCommand(
+          worker, CommandKind.SPEED, permission, target -> target.reply(TaskReply.ACCEPTED), done);
     }
 
     @Override
     public void pollReport(
+        WorkerEntry worker,
+        ReportRequest request,
+        BooleanSupplier permission,
+        Consumer<Either<CallFailure, WorkerReport>> done) {
+      writeIfPermitted(permission, done, () -> writePoll(worker, request, done));
+    }
+
+    private void writePoll(
         WorkerEntry worker,
         ReportRequest request,
         Consumer<Either<CallFailure, WorkerReport>> done) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/WeakenedWorkerClient.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/WeakenedWorkerClient.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.TaskId;
@@ -46,7 +47,10 @@
 
   @Override
   public void start(
-      WorkerEntry worker, Start start, Consumer<Either<CallFailure, CommandResponse>> callback) {
+      WorkerEntry worker,
+      Start start,
+      BooleanSupplier permission,
+      Consumer<Either<CallFailure, CommandResponse>> callback) {
     client.start(
         worker,
         new Start(
@@ -57,6 +61,7 @@
             weaken(start.fencingToken()),
             start.checkpoint(),
             start.ticket()),
+        permission,
         weaken(callback));
   }
 
@@ -66,8 +71,9 @@
       TaskId task,
       int attempt,
       long fencingToken,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, CommandResponse>> callback) {
-    client.stop(worker, task, attempt, weaken(fencingToken), weaken(callback));
+    client.stop(worker, task, attempt, weaken(fencingToken), permission, weaken(callback));
   }
 
   @Override
@@ -77,14 +83,17 @@
       int attempt,
       int speedPercent,
       long fencingToken,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, CommandResponse>> callback) {
-    client.setSpeed(worker, task, attempt, speedPercent, weaken(fencingToken), weaken(callback));
+    client.setSpeed(
+        worker, task, attempt, speedPercent, weaken(fencingToken), permission, weaken(callback));
   }
 
   @Override
   public void pollReport(
       WorkerEntry worker,
       ReportRequest request,
+      BooleanSupplier permission,
       Consumer<Either<CallFailure, WorkerReport>> callback) {
     client.pollReport(
         worker,
@@ -93,6 +102,7 @@
             request.acknowledgedSequence(),
             weaken(request.fencingToken()),
             request.waitMillis()),
+        permission,
         callback);
   }
 }
