--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
@@ -89,6 +89,14 @@
     behaviorByNode.put(node, behavior);
   }
 
+  /** Returns whether the store is slow, or does not respond as usual to some node. */
+  boolean hasFault() {
+    return transactionMillis > 0
+        || clock.nowMillis() < longPollsSilentUntilMillis
+        || delayMillisByTable.values().stream().anyMatch(millis -> millis > 0)
+        || behaviorByNode.values().stream().anyMatch(behavior -> behavior != Behavior.NORMAL);
+  }
+
   /** Returns whether the store answers the reads of a node. */
   boolean answersReadsOf(String node) {
     Behavior behavior = behaviorByNode.getOrDefault(node, Behavior.NORMAL);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/GuaranteeChecker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/GuaranteeChecker.java
@@ -21,11 +21,16 @@
   /** Longest time after an acknowledged cancellation for which tasks may still start, in ms. */
   private static final long MAX_START_AFTER_CANCEL_MILLIS = 3_000;
 
+  /** Longest time without a fault for which a task of a cancelled job may run on, in ms. */
+  private static final long MAX_RUN_AFTER_CANCEL_MILLIS =
+      MAX_START_AFTER_CANCEL_MILLIS + FakeWorker.STOP_DURATION_MILLIS;
+
   private final SimClock clock;
   private final Map<String, JobSpec> submittedJobs = new HashMap<>();
   private final Map<String, Long> cancelledMillisByJob = new HashMap<>();
   private final Map<TaskId, Set<FakeWorker>> runningWorkersByTask = new HashMap<>();
   private final Set<TaskId> doneTasks = new HashSet<>();
+  private final Set<TaskId> tasksThatRanOn = new HashSet<>();
   private final Set<TaskId> acknowledgedDoneTasks = new HashSet<>();
   private final Map<TaskId, Integer> failuresByTask = new HashMap<>();
   private final Map<String, Long> firstStartMillisByJob = new HashMap<>();
@@ -83,6 +88,31 @@
     cancelledMillisByJob.putIfAbsent(job, clock.nowMillis());
   }
 
+  /**
+   * Checks that no task of a cancelled job runs on, though there has been no fault since {@code
+   * calmSinceMillis}.
+   */
+  void checkCancelledJobs(long calmSinceMillis) {
+    cancelledMillisByJob.forEach(
+        (job, cancelledMillis) -> {
+          long sinceMillis = Math.max(cancelledMillis, calmSinceMillis);
+          if (clock.nowMillis() - sinceMillis > MAX_RUN_AFTER_CANCEL_MILLIS) {
+            runningWorkersByTask.forEach((task, workers) -> checkNotRunning(job, task, workers));
+          }
+        });
+  }
+
+  private void checkNotRunning(String cancelledJob, TaskId task, Set<FakeWorker> workers) {
+    if (task.job().equals(cancelledJob) && !workers.isEmpty() && tasksThatRanOn.add(task)) {
+      addViolation(
+          "UNREQUESTED_RUN",
+          task,
+          "runs on although its job was cancelled "
+              + (clock.nowMillis() - cancelledMillisByJob.get(cancelledJob))
+              + " ms ago");
+    }
+  }
+
   /** Records the start of an attempt, and checks that it was allowed after all earlier events. */
   void onStart(FakeWorker worker, TaskId task, int attempt) {
     runHistory.onStart(worker, task, attempt);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -44,6 +44,7 @@
   public static final String QUEUE = "orders";
   public static final String TEAM = "bakery";
   public static final Resources TEAM_LIMIT = new Resources(40_000, 0, 0);
+  private static final long FAULT_CHECK_INTERVAL_MILLIS = 20;
   private static final String WORKER_TABLE = "workers";
 
   /** Precedes the id of a worker in the name of the host on which it listens. */
@@ -76,6 +77,9 @@
   /** The newest incarnation of a worker. Real ones are times in Unix ms. */
   private long lastIncarnation;
 
+  /** When the last fault was noticed. */
+  private long lastFaultMillis;
+
   /** Whether the advice service lets a job run on a worker; both are given by their ids. */
   public BiPredicate<String, String> advicePolicy = (job, worker) -> true;
 
@@ -150,9 +154,28 @@
     for (int i = 0; i < nodeCount; i++) {
       fleet.startNode("n" + i);
     }
+    fleet.checkCancelledJobs();
     return fleet;
   }
 
+  /** Checks repeatedly that no task of a cancelled job runs on. */
+  private void checkCancelledJobs() {
+    boolean hasFault =
+        rowStore.hasFault()
+            || network.hasFault()
+            || nodes.values().stream().anyMatch(SimNode::hasFault);
+    if (hasFault) {
+      recordFault();
+    }
+    guaranteeChecker.checkCancelledJobs(lastFaultMillis);
+    clock.runAfter(FAULT_CHECK_INTERVAL_MILLIS, this::checkCancelledJobs);
+  }
+
+  /** Records a fault that lasts no longer, such as the end of a process. */
+  void recordFault() {
+    lastFaultMillis = clock.nowMillis();
+  }
+
   private void addVms(String pool, int count) {
     for (int i = 0; i < count; i++) {
       if (vmPlatform.isPresent()) {
@@ -193,6 +216,7 @@
   /** Kills the process on a node, if any. */
   public void killNode(String nodeName) {
     SimNode previous = nodes.remove(nodeName);
+    recordFault();
     if (previous != null) {
       previous.kill();
       gangs.forgetReports();
@@ -202,6 +226,7 @@
   /** Ends the process on a node, if any, as when its VM loses power: no connection is closed. */
   public void powerOffNode(String nodeName) {
     SimNode node = nodes.get(nodeName);
+    recordFault();
     if (node != null) {
       node.powerOff();
       gangs.forgetReports();
@@ -228,6 +253,7 @@
   private void startWorker(String id, String pool, String vm, Resources capacity) {
     FakeWorker previous = workers.get(id);
     if (previous != null) {
+      recordFault();
       previous.crash();
     }
     lastIncarnation = Math.max(lastIncarnation + 1, clock.nowMillis());
@@ -472,6 +498,7 @@
    * started again.
    */
   public void crashWorker(String id) {
+    recordFault();
     workers.get(id).crash();
     clock.runAfter(
         4_500,
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNetwork.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNetwork.java
@@ -59,6 +59,12 @@
     return outcomes.getOrDefault(new LinkCommand(new Link(node, worker), kind), outcomeOfNode);
   }
 
+  /** Returns whether any command has another outcome than usual. */
+  boolean hasFault() {
+    return outcomes.values().stream()
+        .anyMatch(outcome -> outcome != CommandOutcome.RESPONSE_RECEIVED);
+  }
+
   /** Returns whether neither a command nor a response of this kind passes. */
   boolean isCutOff(String node, String worker, CommandKind kind) {
     return outcome(node, worker, kind, CommandOutcome.RESPONSE_RECEIVED)
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -240,12 +240,24 @@
     return scheduler.isScheduling();
   }
 
+  /** Returns whether it does not run, or its commands or heartbeats are disturbed. */
+  boolean hasFault() {
+    return paused
+        || heartbeatsLost
+        || operatorReadsFail
+        || commandQueueMillis > 0
+        || defaultCommandOutcome != CommandOutcome.RESPONSE_RECEIVED
+        || commandOutcomeByWorkerId.values().stream()
+            .anyMatch(outcome -> outcome != CommandOutcome.RESPONSE_RECEIVED);
+  }
+
   public boolean isPaused() {
     return paused;
   }
 
   /** Stops the scheduler gracefully, so that it releases the lease. */
   public void stop() {
+    fleet.recordFault();
     scheduler.stop();
   }
 
@@ -488,6 +500,7 @@
     private void executeLate(
         WorkerEntry worker,
         java.util.function.Function<FakeWorker, Either<CallFailure, CommandResponse>> action) {
+      fleet.recordFault();
       fleet.guaranteeChecker.setExecutingLateCommand(true);
       executeUnanswered(worker, action);
       fleet.guaranteeChecker.setExecutingLateCommand(false);
