A worker is asked again until it no longer runs an attempt unknown to the scheduler

Cause: an attempt that is not expected on its worker is told to stop once for each report, and a worker without other tasks is not asked for further reports, so that a lost stop was never repeated.

Change: such a worker is asked every 500 ms until a report no longer lists the attempt, and each report that does repeats the stop.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -56,6 +56,12 @@
   /** Whether this incarnation has ended. */
   boolean ended;
 
+  /**
+   * Whether its last report listed an attempt that this scheduler does not expect there. It was
+   * told to stop the attempt, which a further report has to show.
+   */
+  boolean runsOrphan;
+
   /** Whether a report request, which also renews the lease, is pending. */
   boolean reportRequestPending;
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -13,10 +13,11 @@
 /**
  * Renews the leases of workers and reads their reports, both with the same report requests.
  *
- * <p>A worker gets report requests only while tasks may run there or an end has to be acknowledged.
- * A listed worker without tasks gets a single one, from which it learns the fencing token. A
- * request to a worker with tasks is a long poll: the worker responds when an attempt ends, or at
- * the latest after {@link #LONG_POLL_MILLIS}.
+ * <p>A worker gets report requests only while tasks may run there, an end has to be acknowledged,
+ * or it runs an attempt that is not expected there, whose stop may have been lost. A listed worker
+ * without tasks gets a single one, from which it learns the fencing token. A request to a worker
+ * with tasks is a long poll: the worker responds when an attempt ends, or at the latest after
+ * {@link #LONG_POLL_MILLIS}.
  */
 final class WorkerLeaseRenewer {
   /**
@@ -32,8 +33,8 @@
   private static final long BATCH_DELAY_MILLIS = 15;
 
   /**
-   * Delay before the next request to a worker without tasks, which acknowledges its last ends, in
-   * ms.
+   * Delay before the next request to a worker without tasks, which acknowledges its last ends or
+   * shows whether an unexpected attempt has ended, in ms.
    */
   private static final long IDLE_ACKNOWLEDGE_DELAY_MILLIS = 500;
 
@@ -138,7 +139,7 @@
     boolean hasUnacknowledgedEnds = worker.lastCommittedEnd > worker.lastAcknowledgedEnd;
     boolean hasToRespond =
         worker.listed && (!worker.hasReported || worker.isReplacementSuspected());
-    if (hasTasks || hasUnacknowledgedEnds || hasToRespond) {
+    if (hasTasks || hasUnacknowledgedEnds || hasToRespond || worker.runsOrphan) {
       sendReportRequest(
           worker,
           hasTasks && worker.hasReported && worker.consecutiveCallFailures == 0
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerReportReconciler.java
@@ -116,6 +116,9 @@
     // Reports on different connections may overtake each other.
     boolean isNewest = report.clockMillis() >= worker.newestReportClockMillis;
     worker.newestReportClockMillis = Math.max(worker.newestReportClockMillis, report.clockMillis());
+    if (isNewest) {
+      worker.runsOrphan = countUnknownAttempts(worker, report) > 0;
+    }
     Set<Attempt> reported = new HashSet<>();
     for (Running running : report.running()) {
       reported.add(new Attempt(running.task(), running.attempt()));
