--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -219,7 +219,7 @@
           if (isCurrent) {
             task.commandPending = false;
             if (permission.wasDenied()) {
-              retryUnsent(task, isStart);
+              retryUnsent(task, isStart, sentMillis);
             } else if (isStart) {
               applyStartResponse(task, response, sentMillis, sentRegistration);
             } else {
@@ -338,7 +338,22 @@
   }
 
   /** Sends a command again, if it is still allowed then, that its permission has kept back. */
-  private void retryUnsent(Task task, boolean wasStart) {
+  private void retryUnsent(Task task, boolean wasStart, long decidedMillis) {
+    long now = clock.monotonicMillis();
+    log.log(
+        "task.command_withheld",
+        "job",
+        task.id.job(),
+        "task",
+        task.id,
+        "attempt",
+        task.attempt,
+        "worker",
+        task.worker.entry.id(),
+        "command",
+        wasStart ? "start" : "stop",
+        "waited",
+        now - decidedMillis);
     if (wasStart) {
       task.startDoubt = task.startDoubt.afterResolving();
       task.startSent = task.inconclusiveSends > 0;
@@ -347,7 +362,7 @@
       // The stop was not sent while the response to the start was pending.
       send(task);
     } else {
-      task.nextCommandMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
+      task.nextCommandMillis = now + RETRY_DELAY_MILLIS;
     }
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DelayedCommandTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DelayedCommandTest.java
@@ -102,5 +102,6 @@
         startMillis - resumedMillis < 500,
         "started " + (startMillis - resumedMillis) + " ms after the process resumed");
     assertTrue(!events.contains("worker.silent"), "a worker counts as failing");
+    assertTrue(events.contains("task.command_withheld"), "nothing is logged");
   }
 }
