--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -8,14 +8,16 @@
 import org.sassafraslink.api.fleet.WorkerClient.ReportRequest;
 import org.sassafraslink.api.fleet.WorkerReport;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.command.CommandPermission;
 
 /**
  * Renews the leases of workers and reads their reports, both with the same report requests.
  *
- * <p>A worker gets report requests only while tasks may run there or an end has to be acknowledged.
- * A listed worker without tasks gets a single one, from which it learns the fencing token. A
- * request to a worker with tasks is a long poll: the worker responds when an attempt ends, or at
- * the latest after {@link #LONG_POLL_MILLIS}.
+ * <p>A worker gets report requests only while tasks may run there, an end has to be acknowledged,
+ * or it runs an attempt that is not expected there, whose stop may have been lost. A listed worker
+ * without tasks gets a single one, from which it learns the fencing token. A request to a worker
+ * with tasks is a long poll: the worker responds when an attempt ends, or at the latest after
+ * {@link #LONG_POLL_MILLIS}.
  */
 final class WorkerLeaseRenewer {
   /**
@@ -31,8 +33,8 @@
   private static final long BATCH_DELAY_MILLIS = 15;
 
   /**
-   * Delay before the next request to a worker without tasks, which acknowledges its last ends, in
-   * ms.
+   * Delay before the next request to a worker without tasks, which acknowledges its last ends or
+   * shows whether an unexpected attempt has ended, in ms.
    */
   private static final long IDLE_ACKNOWLEDGE_DELAY_MILLIS = 500;
 
@@ -137,7 +139,7 @@
     boolean hasUnacknowledgedEnds = worker.lastCommittedEnd > worker.lastAcknowledgedEnd;
     boolean hasToRespond =
         worker.listed && (!worker.hasReported || worker.isReplacementSuspected());
-    if (hasTasks || hasUnacknowledgedEnds || hasToRespond) {
+    if (hasTasks || hasUnacknowledgedEnds || hasToRespond || worker.runsOrphan) {
       sendReportRequest(
           worker,
           hasTasks && worker.hasReported && worker.consecutiveCallFailures == 0
@@ -177,13 +179,19 @@
     long sentRegistration = worker.registration;
     worker.reportRequestPending = true;
     long sentGeneration = generation;
+    CommandPermission permission = lease.renewalPermission();
     client.pollReport(
         worker.entry,
         request,
+        permission,
         response -> {
           if (generation == sentGeneration) {
             worker.reportRequestPending = false;
-            applyResponse(worker, response, acknowledgedEnd, sentRegistration, nowMillis);
+            if (permission.wasDenied()) {
+              worker.nextReportRequestMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
+            } else {
+              applyResponse(worker, response, acknowledgedEnd, sentRegistration, nowMillis);
+            }
           }
         });
   }
