A start is not written after its job may have been cancelled

Cause: the permission of a start, which is asked right before it is written, ended with the lease, which its holder renews. A start that waited in the process was written whatever had become of its job.

Change: the permission also ends two thirds of the platform's bound after the job was last known not to be cancelled.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -140,6 +140,13 @@
     return CommandPermission.of(() -> isValid() && epoch() == commandEpoch);
   }
 
+  /** As {@link #commandPermission()}, but not beyond {@code untilMillis}, monotonic ms. */
+  CommandPermission commandPermissionUntil(long untilMillis) {
+    CommandPermission permission = commandPermission();
+    return CommandPermission.of(
+        () -> clock.monotonicMillis() < untilMillis && permission.getAsBoolean());
+  }
+
   /**
    * Returns the permission for a command that renews the lease of a worker. It holds until the end
    * of the lease also if this process gives the lease up, so that the worker's tasks outlast the
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -221,7 +221,10 @@
     long sentMillis = clock.monotonicMillis();
     long sentRegistration = worker.registration;
     long fencingToken = worker.fencingToken(lease.epoch());
-    CommandPermission permission = lease.commandPermission();
+    CommandPermission permission =
+        isStart
+            ? lease.commandPermissionUntil(latestStartMillis(task.job))
+            : lease.commandPermission();
     java.util.function.Consumer<Either<CallFailure, CommandResponse>> onResponse =
         response -> {
           if (response.isRight()) {
@@ -292,14 +295,19 @@
   }
 
   private boolean isKnownUncancelled(Job job, long nowMillis) {
-    long notCancelledAtMillis = Math.max(job.notCancelledAtMillis, feedReadAtMillis.getAsLong());
-    boolean isKnown = startBound.maySend(notCancelledAtMillis, nowMillis);
+    boolean isKnown = nowMillis < latestStartMillis(job);
     if (!isKnown) {
       listener.onCancellationUnknown(job);
     }
     return isKnown;
   }
 
+  /** Returns until when starts of a job may be written, monotonic ms. */
+  private long latestStartMillis(Job job) {
+    return startBound.latestSendMillis(
+        Math.max(job.notCancelledAtMillis, feedReadAtMillis.getAsLong()));
+  }
+
   /**
    * Handles a start that must not be repeated although its outcome is unknown. A task that has done
    * little work by now is stopped at once. The stop of a long-running task would interrupt it, and
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/cancellation/StartBound.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/cancellation/StartBound.java
@@ -18,17 +18,11 @@
   public static final long NEVER = Long.MIN_VALUE / 2;
 
   /**
-   * Returns whether a start may be sent.
+   * Returns until when a start may be written to its connection, monotonic ms.
    *
    * @param notCancelledAtMillis the latest time at which the job is known to have had no stored
    *     cancellation, monotonic ms
-   * @param nowMillis monotonic ms
    */
-  public boolean maySend(long notCancelledAtMillis, long nowMillis) {
-    return nowMillis < latestSendMillis(notCancelledAtMillis);
-  }
-
-  /** Returns until when a start may be sent, monotonic ms; see {@link #maySend}. */
   public long latestSendMillis(long notCancelledAtMillis) {
     return notCancelledAtMillis + (long) (maxCancellationMillis * SENDING_FRACTION);
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/cancellation/UnreadCancellationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/cancellation/UnreadCancellationTest.java
@@ -17,6 +17,7 @@
 import org.sassafraslink.scheduler.sim.SimFleet;
 import org.sassafraslink.scheduler.sim.SimLayout;
 import org.sassafraslink.scheduler.sim.SimNetwork.CommandKind;
+import org.sassafraslink.scheduler.sim.SimNode;
 import org.sassafraslink.scheduler.sim.SimNode.CommandOutcome;
 
 /**
@@ -148,6 +149,20 @@
     assertEquals(ImmutableList.of(), fleet.guaranteeChecker.violations());
   }
 
+  /** Guards against a start that waits in its process until seconds after the cancellation. */
+  @ParameterizedTest
+  @ValueSource(ints = {3_200, 4_000, 8_000})
+  void queuedStartIsNotWritten(int queueMillis) {
+    SimFleet fleet = startFleet(queueMillis);
+    SimNode scheduler = fleet.nodes.get(fleet.schedulingNodeName().orElseThrow());
+    scheduler.setCommandQueueTime(queueMillis);
+    fleet.submitToOpenQueue("job", POOL, SimFleet.step(2, 1_000));
+    fleet.runFor(100);
+    fleet.cancel("job");
+    fleet.runFor(FAULT_MILLIS);
+    assertEquals(ImmutableList.of(), fleet.guaranteeChecker.violations());
+  }
+
   /** Guards against starts that are withheld although nothing is wrong with the job. */
   @ParameterizedTest
   @EnumSource(ReadFault.class)
