An id that is cancelled for the second time is kept for the whole retention

A job would be stored, and run, after its cancelling was answered 410.

Cause: the response to the deletion of the row of a cancelled id is lost, the id is cancelled again, and the conflict of the repeated deletion shows the new row. FinishedJobCleaner took the version of that row for its own entry, whose retention was over, and deleted the row within a second. The row in the feed was ignored, since the id had an entry.

Change: a newer row of a cancelled id replaces the entry, whether the feed or a conflict shows it, and the outcome of a deletion removes only the entry that it was sent for.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/FinishedJobCleaner.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/FinishedJobCleaner.java
@@ -139,17 +139,24 @@
   }
 
   /**
-   * Adds an id that was cancelled before a job with it was stored, unless it was added before.
+   * Adds an id that was cancelled before a job with it was stored, unless it was added before. The
+   * id replaces that of an earlier job or cancelling whose rows have been deleted.
    *
    * @param cancelledId see {@link JobRows#isCancelledId}
    */
   void addCancelledId(String jobId, StoredRow cancelledId) {
+    FinishedJob earlier = finishedJobs.get(jobId);
+    if (earlier != null && cancelledId.version() <= earlier.endedRowVersion) {
+      return;
+    }
     FinishedJob finished =
         new FinishedJob(
             jobId, JobState.CANCELLED, JobRows.decisionPartition(jobId), clock.monotonicMillis());
     finished.endedRowVersion = cancelledId.version();
     finished.hasFinalRow = false;
-    finishedJobs.putIfAbsent(jobId, finished);
+    // The entries are in the order of their additions.
+    finishedJobs.remove(jobId);
+    finishedJobs.put(jobId, finished);
   }
 
   /** Returns whether a job has finished and some of its rows may still be stored. */
@@ -285,7 +292,7 @@
         new Transaction(expectations.build(), ImmutableList.of(), deletes.build()),
         outcome -> {
           if (outcome instanceof Outcome.Committed) {
-            batch.forEach(finished -> finishedJobs.remove(finished.jobId));
+            batch.forEach(finished -> finishedJobs.remove(finished.jobId, finished));
           } else if (outcome instanceof Outcome.Conflict conflict) {
             // The response to an earlier transaction was lost.
             batch.forEach(finished -> applyConflict(finished, conflict));
@@ -300,10 +307,13 @@
             .filter(row -> row.key().equals(key) && !row.deleted())
             .filter(row -> row.version() != RowStore.ABSENT)
             .findFirst();
-    if (stored.isPresent()) {
+    boolean isNewerRow = stored.isPresent() && stored.get().version() > finished.endedRowVersion;
+    if (isNewerRow && JobRows.isCancelledId(stored.get())) {
+      addCancelledId(finished.jobId, stored.get());
+    } else if (stored.isPresent()) {
       finished.endedRowVersion = stored.get().version();
     } else {
-      finishedJobs.remove(finished.jobId);
+      finishedJobs.remove(finished.jobId, finished);
     }
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/CancelledIdTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/CancelledIdTest.java
@@ -14,6 +14,7 @@
 import org.sassafraslink.api.fleet.RowStore.Put;
 import org.sassafraslink.api.fleet.RowStore.RowKey;
 import org.sassafraslink.scheduler.JobRows.Kind;
+import org.sassafraslink.scheduler.sim.FakeRowStore.Behavior;
 import org.sassafraslink.scheduler.sim.SimFleet;
 
 /**
@@ -36,11 +37,29 @@
   private final SimFleet fleet = SimFleet.start(SEED, /* nodeCount= */ 3, /* workerCount= */ 4);
 
   private void cancelId() {
+    cancelId(fleet);
+  }
+
+  private static void cancelId(SimFleet fleet) {
     fleet.runFor(1_500);
+    putCancelledId(fleet);
+  }
+
+  private static void putCancelledId(SimFleet fleet) {
     Put row = JobRows.cancelledId(JOB_ID);
     fleet.rowStore.putRow(row.key().table(), row.key().partition(), row.key().key(), row.value());
   }
 
+  private void loseResponses() {
+    List.copyOf(fleet.nodes.keySet())
+        .forEach(node -> fleet.rowStore.setBehavior(node, Behavior.LOSES_RESPONSES));
+  }
+
+  private void answerAgain() {
+    List.copyOf(fleet.nodes.keySet())
+        .forEach(node -> fleet.rowStore.setBehavior(node, Behavior.NORMAL));
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
   void rowIsKeptUntilNoInsertCanFollowAndThenDeleted(boolean schedulersRestart) {
@@ -72,4 +91,32 @@
     assertEquals(Optional.of(JobState.COMPLETED), fleet.checkedState(JOB_ID));
     assertEquals(List.of(), fleet.guaranteeChecker.violations());
   }
+
+  /** Returns when the row of the cancelled id is deleted if nothing disturbs that. */
+  private long deletionMillis() {
+    SimFleet undisturbed = SimFleet.start(SEED, /* nodeCount= */ 3, /* workerCount= */ 4);
+    cancelId(undisturbed);
+    for (int i = 0; i < MAX_DELETION_MILLIS && undisturbed.rowStore.hasRow(KEY); i++) {
+      undisturbed.runFor(1);
+    }
+    return undisturbed.clock.nowMillis();
+  }
+
+  /** Guards against a late insert of a job whose id was cancelled for the second time. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 20, 200})
+  void idIsCancelledAgainAfterTheResponseToTheDeletionWasLost(int millisAfterDeletion) {
+    cancelId();
+    fleet.runFor(deletionMillis() - fleet.clock.nowMillis() - 10);
+    loseResponses();
+    fleet.runFor(20);
+    assertFalse(fleet.rowStore.hasRow(KEY));
+    fleet.runFor(millisAfterDeletion);
+    putCancelledId(fleet);
+    answerAgain();
+    fleet.runFor(LATEST_INSERT_MILLIS);
+    assertTrue(fleet.rowStore.hasRow(KEY));
+    fleet.runFor(MAX_DELETION_MILLIS - LATEST_INSERT_MILLIS);
+    assertFalse(fleet.rowStore.hasRow(KEY));
+  }
 }
