A takeover restores each job from the newest version of its rows

Cause: between the read of all rows and the restoring of jobs, which waits for the operator rows and the workers, changed rows are appended, and deleted ones were left out when jobs were restored. So the row of a cancelled id hid the submission of the job that used the id after the deletion of that row.

Change: of several versions of a row, the newest counts, also if it is a deletion.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -3,11 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
@@ -17,6 +15,7 @@
 import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.RowStore;
+import org.sassafraslink.api.fleet.RowStore.RowKey;
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.log.EventLog;
@@ -124,18 +123,20 @@
   /**
    * Restores all jobs from their rows: adds the unfinished ones in the order of their acceptance,
    * and passes the finished ones to the {@link FinishedJobCleaner}.
+   *
+   * @param rows may hold several versions of a row, in any order, of which the newest counts
    */
   void restore(ImmutableList<StoredRow> rows) {
-    Map<String, List<StoredRow>> rowsByJobId = new LinkedHashMap<>();
+    Map<String, Map<RowKey, StoredRow>> rowsByJobId = new LinkedHashMap<>();
     for (StoredRow row : rows) {
-      if (!row.deleted()) {
-        rowsByJobId.computeIfAbsent(JobRows.jobIdOf(row.key()), id -> new ArrayList<>()).add(row);
-      }
+      rowsByJobId
+          .computeIfAbsent(JobRows.jobIdOf(row.key()), id -> new LinkedHashMap<>())
+          .merge(row.key(), row, JobRegistry::newer);
     }
     Map<JobSpec, ImmutableList<StoredRow>> rowsByLiveJob = new LinkedHashMap<>();
     rowsByJobId.forEach(
         (id, rowsOfJob) -> {
-          ImmutableList<StoredRow> jobRows = ImmutableList.copyOf(rowsOfJob);
+          ImmutableList<StoredRow> jobRows = ImmutableList.copyOf(rowsOfJob.values());
           Optional<StoredRow> submission = JobRows.findRow(jobRows, Kind.SUBMISSION);
           Optional<JobState> finalState = JobRows.jobState(jobRows).filter(JobState::isFinal);
           Optional<StoredRow> finalRow = JobRows.findRow(jobRows, Kind.FINAL);
@@ -164,6 +165,10 @@
             });
   }
 
+  private static StoredRow newer(StoredRow row, StoredRow other) {
+    return other.version() >= row.version() ? other : row;
+  }
+
   private void restore(Job job, ImmutableList<StoredRow> rows) {
     JobRows.findRow(rows, Kind.PROGRESS).ifPresent(row -> restoreProgress(job, row));
     JobRows.findRow(rows, Kind.CANCELLATION)
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/CancelledIdTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/CancelledIdTest.java
@@ -119,4 +119,23 @@
     fleet.runFor(MAX_DELETION_MILLIS - LATEST_INSERT_MILLIS);
     assertFalse(fleet.rowStore.hasRow(KEY));
   }
+
+  /** Guards against an accepted job that never runs, since its id was cancelled long before. */
+  @Test
+  void jobRunsWhoseIdIsUsedAgainDuringATakeover() {
+    cancelId();
+    fleet.runFor(1_000);
+    fleet.nodes.values().forEach(node -> node.setOperatorReadsFail(true));
+    List.copyOf(fleet.nodes.keySet()).forEach(fleet::startNodeWithFailingOperatorReads);
+    fleet.runFor(10_000);
+    assertEquals(Optional.empty(), fleet.schedulingNodeName());
+    fleet.rowStore.deleteRow(KEY.table(), KEY.partition(), KEY.key());
+    fleet.submit(JOB_ID, SimFleet.step(2, 1_000));
+    fleet.runFor(2_000);
+    fleet.nodes.values().forEach(node -> node.setOperatorReadsFail(false));
+    fleet.runFor(20_000);
+    assertTrue(fleet.schedulingNodeName().isPresent());
+    assertEquals(Optional.of(JobState.COMPLETED), fleet.checkedState(JOB_ID));
+    assertEquals(List.of(), fleet.guaranteeChecker.violations());
+  }
 }
