A silent feed is told by its polls, not by the age of what was read

Change: all rows are read once long polls have failed or been silent for 1.5 s and no bytes of a response have arrived meanwhile. The wrapper of the store for the scheduler's thread passes the observer of a transfer on.

--- a/entry/src/main/java/org/sassafraslink/entry/process/ExecutorBoundClients.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/ExecutorBoundClients.java
@@ -9,6 +9,7 @@
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.TaskId;
+import org.sassafraslink.api.fleet.TransferObserver;
 import org.sassafraslink.api.fleet.VmClient;
 import org.sassafraslink.api.fleet.WorkerClient;
 import org.sassafraslink.api.fleet.WorkerEntry;
@@ -37,6 +38,12 @@
         store.read(range, callbackOn(executor, callback));
       }
 
+      @Override
+      public void read(
+          Range range, TransferObserver observer, Consumer<Either<CallFailure, Rows>> callback) {
+        store.read(range, observer, callbackOn(executor, callback));
+      }
+
       @Override
       public void readChanges(
           String table,
@@ -45,6 +52,16 @@
           Consumer<Either<CallFailure, Rows>> callback) {
         store.readChanges(table, version, waitMillis, callbackOn(executor, callback));
       }
+
+      @Override
+      public void readChanges(
+          String table,
+          long version,
+          int waitMillis,
+          TransferObserver observer,
+          Consumer<Either<CallFailure, Rows>> callback) {
+        store.readChanges(table, version, waitMillis, observer, callbackOn(executor, callback));
+      }
     };
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
@@ -24,10 +25,10 @@
   private static final int LONG_POLL_MILLIS = 1_000;
 
   /**
-   * Age of what has been read from which on all rows are read instead of waiting for a long poll,
-   * in ms. While long polls are answered, it stays below two of them.
+   * How long long polls may fail or be silent until all rows are read instead, in ms: the wait of
+   * one and the response of a slow store.
    */
-  private static final long MAX_READ_AGE_MILLIS = 2_500;
+  private static final long MAX_SILENCE_MILLIS = 1_500;
 
   /** Delay before a failed call is repeated, in ms. */
   private static final long RETRY_DELAY_MILLIS = 100;
@@ -61,6 +62,13 @@
   private long readAtMillis = StartBound.NEVER;
 
   private long fullReadStartMillis;
+
+  /** When the first long poll since the last answer was sent, monotonic ms; empty if none was. */
+  private OptionalLong unansweredSinceMillis = OptionalLong.empty();
+
+  /** When bytes of a response to a long poll last arrived, monotonic ms; set on any thread. */
+  private volatile long lastBytesMillis = StartBound.NEVER;
+
   private long nextCallMillis;
 
   /** Incremented by each reset; responses to earlier long polls are ignored. */
@@ -82,6 +90,7 @@
     loaded = false;
     readVersion = -1;
     readAtMillis = StartBound.NEVER;
+    unansweredSinceMillis = OptionalLong.empty();
     nextCallMillis = 0;
   }
 
@@ -99,7 +108,7 @@
 
   /** Starts or continues a full read, or sends the next long poll, unless a call is pending. */
   void readIfDue(long nowMillis) {
-    if (readVersion >= 0 && nowMillis - readAtMillis > MAX_READ_AGE_MILLIS) {
+    if (arePollsSilent(nowMillis)) {
       abandonPolls(nowMillis);
     }
     if (pollPending || nowMillis < nextCallMillis) {
@@ -123,22 +132,38 @@
     }
   }
 
-  /** Replaces the long polls, which have been silent or have failed, by a full read. */
+  /** Returns whether long polls have failed or been silent for long, and no response arrives. */
+  private boolean arePollsSilent(long nowMillis) {
+    return unansweredSinceMillis.isPresent()
+        && nowMillis - unansweredSinceMillis.getAsLong() > MAX_SILENCE_MILLIS
+        && nowMillis - lastBytesMillis > MAX_SILENCE_MILLIS;
+  }
+
+  /** Replaces the long polls by a full read. */
   private void abandonPolls(long nowMillis) {
     log.log("jobs.feed_silent", "after", readVersion, "age", nowMillis - readAtMillis);
     generation++;
     pollPending = false;
-    readVersion = -1;
+    requireFullRead();
     nextCallMillis = nowMillis;
   }
 
+  private void requireFullRead() {
+    readVersion = -1;
+    unansweredSinceMillis = OptionalLong.empty();
+  }
+
   private void poll(long nowMillis) {
     pollPending = true;
+    if (unansweredSinceMillis.isEmpty()) {
+      unansweredSinceMillis = OptionalLong.of(nowMillis);
+    }
     long sentGeneration = generation;
     store.readChanges(
         JobRows.TABLE,
         readVersion,
         LONG_POLL_MILLIS,
+        (receivedBytes, expectedBytes) -> lastBytesMillis = clock.monotonicMillis(),
         result -> {
           if (generation == sentGeneration) {
             pollPending = false;
@@ -171,13 +196,14 @@
     if (result.isRight()) {
       readVersion = result.get().version();
       readAtMillis = sentMillis;
+      unansweredSinceMillis = OptionalLong.empty();
       listener.onChanged(result.get().rows());
       return;
     }
     nextCallMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
     if (result.getLeft() == CallFailure.HISTORY_DISCARDED) {
       log.log("jobs.history_discarded", "after", readVersion);
-      readVersion = -1;
+      requireFullRead();
     }
   }
 }
