Soak of cancellings with a scheduler: ends, failures, schedules, drains, takeovers

CancellationSoakTest has no scheduler, so it sees which rows are stored and not what starts. The store always answers the scheduler, so that a feed without answers is not covered.

--- a/entry/src/test/java/org/sassafraslink/entry/job/SchedulingVm.java
+++ b/entry/src/test/java/org/sassafraslink/entry/job/SchedulingVm.java
@@ -5,7 +5,7 @@
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +22,7 @@
 import org.sassafraslink.api.fleet.WorkerClient;
 import org.sassafraslink.api.fleet.WorkerEntry;
 import org.sassafraslink.api.fleet.WorkerReport;
+import org.sassafraslink.api.fleet.WorkerReport.EndKind;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.entry.process.PlatformRowFormats;
 import org.sassafraslink.platform.fleet.WorkerEntryDecoder;
@@ -31,40 +32,76 @@
 
 /**
  * A scheduler that reads and writes the rows of {@link EntryVms}, with workers whose tasks run
- * until they are stopped. The store answers its calls also while it is silent to the entry VMs.
+ * until they are stopped, or for a short time if their payload says how they end. The store answers
+ * its calls also while it is silent to the entry VMs.
  */
 final class SchedulingVm {
   private static final int CALL_MILLIS = 5;
   private static final int REPORT_MILLIS = 20;
 
+  private static final int STOP_MILLIS = 100;
+  private static final int RUN_MILLIS = 300;
+
+  /** The payload of tasks that end as done. */
+  static final String DONE = "done";
+
+  /** The payload of tasks that end as failed. */
+  static final String FAILED = "failed";
+
   /** A start that a worker has carried out. */
   record StartedTask(TaskId task, int attempt, long millis) {}
 
   final List<StartedTask> starts = new ArrayList<>();
   private final EntryVms vms;
-  private final Scheduler scheduler;
-  private final Map<String, RunningTasks> runningByWorker = new LinkedHashMap<>();
+  private Scheduler scheduler;
 
-  private static final class RunningTasks {
-    private final Map<TaskId, Integer> attempts = new LinkedHashMap<>();
+  /** Incremented by each restart; what an earlier process waits for no longer reaches it. */
+  private int process;
+
+  private final Map<String, Tasks> tasksByWorker = new LinkedHashMap<>();
+
+  /** The tasks on a worker. */
+  private static final class Tasks {
+    private final Map<TaskId, Integer> running = new LinkedHashMap<>();
+    private final Map<TaskId, Integer> highestEnded = new HashMap<>();
     private final List<WorkerReport.Ended> ended = new ArrayList<>();
     private long ends;
+
+    void end(TaskId task, int attempt, EndKind kind) {
+      if (running.remove(task, attempt)) {
+        highestEnded.merge(task, attempt, Math::max);
+        ends++;
+        ended.add(new WorkerReport.Ended(ends, task, attempt, kind, /* checkpoint= */ ""));
+      }
+    }
   }
 
   private SchedulingVm(EntryVms vms) {
     this.vms = vms;
-    this.scheduler =
+    this.scheduler = createScheduler();
+  }
+
+  private Scheduler createScheduler() {
+    Scheduler created =
         Scheduler.create(
             new SchedulersRowStore(),
-            new RunningWorkerClient(),
+            new TaskWorkerClient(),
             new NoVms(),
             Optional.empty(),
             vms.clock(),
             EventLog.silent()
                 .withObserver((event, fields) -> vms.eventObserver.onEvent(event, fields)),
             new PlatformRowFormats(),
-            SchedulerSettings.of(nodeSettings(), "process"),
+            SchedulerSettings.of(nodeSettings(), "process-" + process),
             new NoOtherHolders());
+    created.onConfig(vms.settings());
+    return created;
+  }
+
+  /** Ends the scheduler's process without notice and starts another one. */
+  void restart() {
+    process++;
+    scheduler = createScheduler();
   }
 
   /** Starts a scheduler with workers. */
@@ -73,14 +110,21 @@
     for (String worker : workers) {
       vm.putWorker(worker, "ready");
     }
-    vm.scheduler.onConfig(vms.settings());
     vm.runDueWorkAndReschedule();
     return vm;
   }
 
+  /** Returns how many tasks of a job run on all workers. */
+  long runningTasks(String jobId) {
+    return tasksByWorker.values().stream()
+        .flatMap(tasks -> tasks.running.keySet().stream())
+        .filter(task -> task.job().equals(jobId))
+        .count();
+  }
+
   /** Puts the entry of a worker into the list of workers. */
   void putWorker(String id, String state) {
-    runningByWorker.computeIfAbsent(id, key -> new RunningTasks());
+    tasksByWorker.computeIfAbsent(id, key -> new Tasks());
     vms.store.put(
         new RowKey(WorkerEntryDecoder.TABLE, "", id),
         "{\"service\":\"s\",\"address\":\"127.0.0.1:"
@@ -94,7 +138,7 @@
   }
 
   private int port(String worker) {
-    return 1 + ImmutableList.copyOf(runningByWorker.keySet()).indexOf(worker);
+    return 1 + ImmutableList.copyOf(tasksByWorker.keySet()).indexOf(worker);
   }
 
   private void runDueWorkAndReschedule() {
@@ -103,12 +147,15 @@
     vms.runAfter(10, this::runDueWorkAndReschedule);
   }
 
-  private <T> void answer(long millis, Consumer<T> callback, T response) {
+  /** Answers a call of a scheduler's process, unless that has ended. */
+  private <T> void answer(int caller, long millis, Consumer<T> callback, T response) {
     vms.runAfter(
         millis,
         () -> {
-          callback.accept(response);
-          scheduler.runDueWork();
+          if (process == caller) {
+            callback.accept(response);
+            scheduler.runDueWork();
+          }
         });
   }
 
@@ -142,15 +189,19 @@
   }
 
   private final class SchedulersRowStore implements RowStore {
+    private final int caller = process;
+
     @Override
     public void commit(Transaction transaction, Consumer<Outcome> callback) {
-      vms.runAfter(CALL_MILLIS, () -> answer(CALL_MILLIS, callback, vms.store.apply(transaction)));
+      vms.runAfter(
+          CALL_MILLIS, () -> answer(caller, CALL_MILLIS, callback, vms.store.apply(transaction)));
     }
 
     @Override
     public void read(Range range, Consumer<Either<CallFailure, Rows>> callback) {
       vms.runAfter(
-          CALL_MILLIS, () -> answer(CALL_MILLIS, callback, Either.right(vms.store.rowsIn(range))));
+          CALL_MILLIS,
+          () -> answer(caller, CALL_MILLIS, callback, Either.right(vms.store.rowsIn(range))));
     }
 
     @Override
@@ -158,7 +209,7 @@
         String table, long version, int waitMillis, Consumer<Either<CallFailure, Rows>> callback) {
       Rows changed = vms.store.changedAfter(table, version);
       if (!changed.rows().isEmpty() || waitMillis <= 0) {
-        answer(CALL_MILLIS, callback, Either.right(changed));
+        answer(caller, CALL_MILLIS, callback, Either.right(changed));
       } else {
         vms.runAfter(
             CALL_MILLIS, () -> readChanges(table, version, waitMillis - CALL_MILLIS, callback));
@@ -166,7 +217,9 @@
     }
   }
 
-  private final class RunningWorkerClient implements WorkerClient {
+  private final class TaskWorkerClient implements WorkerClient {
+    private final int caller = process;
+
     private Either<CallFailure, CommandResponse> response(TaskReply reply) {
       return Either.right(
           new CommandResponse(reply, OptionalLong.of(vms.clock().monotonicMillis())));
@@ -175,9 +228,25 @@
     @Override
     public void start(
         WorkerEntry worker, Start start, Consumer<Either<CallFailure, CommandResponse>> callback) {
-      runningByWorker.get(worker.id()).attempts.put(start.task(), start.attempt());
-      starts.add(new StartedTask(start.task(), start.attempt(), vms.clock().monotonicMillis()));
-      answer(CALL_MILLIS, callback, response(TaskReply.ACCEPTED));
+      Tasks tasks = tasksByWorker.get(worker.id());
+      boolean hasEnded = start.attempt() <= tasks.highestEnded.getOrDefault(start.task(), 0);
+      if (!hasEnded && tasks.running.putIfAbsent(start.task(), start.attempt()) == null) {
+        starts.add(new StartedTask(start.task(), start.attempt(), vms.clock().monotonicMillis()));
+        endLater(tasks, start);
+      }
+      answer(
+          caller,
+          CALL_MILLIS,
+          callback,
+          response(hasEnded ? TaskReply.OUTDATED : TaskReply.ACCEPTED));
+    }
+
+    private void endLater(Tasks tasks, Start start) {
+      if (start.payload().equals(DONE)) {
+        vms.runAfter(RUN_MILLIS, () -> tasks.end(start.task(), start.attempt(), EndKind.DONE));
+      } else if (start.payload().equals(FAILED)) {
+        vms.runAfter(RUN_MILLIS, () -> tasks.end(start.task(), start.attempt(), EndKind.FAILED));
+      }
     }
 
     @Override
@@ -187,14 +256,10 @@
         int attempt,
         long fencingToken,
         Consumer<Either<CallFailure, CommandResponse>> callback) {
-      RunningTasks running = runningByWorker.get(worker.id());
-      if (running.attempts.remove(task, attempt)) {
-        running.ends++;
-        running.ended.add(
-            new WorkerReport.Ended(
-                running.ends, task, attempt, WorkerReport.EndKind.STOPPED, /* checkpoint= */ ""));
-      }
-      answer(CALL_MILLIS, callback, response(TaskReply.ACCEPTED));
+      Tasks tasks = tasksByWorker.get(worker.id());
+      tasks.highestEnded.merge(task, attempt, Math::max);
+      vms.runAfter(STOP_MILLIS, () -> tasks.end(task, attempt, EndKind.STOPPED));
+      answer(caller, CALL_MILLIS, callback, response(TaskReply.ACCEPTED));
     }
 
     @Override
@@ -205,7 +270,7 @@
         int speedPercent,
         long fencingToken,
         Consumer<Either<CallFailure, CommandResponse>> callback) {
-      answer(CALL_MILLIS, callback, response(TaskReply.ACCEPTED));
+      answer(caller, CALL_MILLIS, callback, response(TaskReply.ACCEPTED));
     }
 
     @Override
@@ -213,18 +278,18 @@
         WorkerEntry worker,
         ReportRequest request,
         Consumer<Either<CallFailure, WorkerReport>> callback) {
-      RunningTasks running = runningByWorker.get(worker.id());
-      running.ended.removeIf(end -> end.sequence() <= request.acknowledgedSequence());
+      Tasks tasks = tasksByWorker.get(worker.id());
+      tasks.ended.removeIf(end -> end.sequence() <= request.acknowledgedSequence());
       vms.runAfter(
           REPORT_MILLIS,
-          () -> answer(CALL_MILLIS, callback, Either.right(report(running, worker))));
+          () -> answer(caller, CALL_MILLIS, callback, Either.right(report(tasks, worker))));
     }
 
-    private WorkerReport report(RunningTasks running, WorkerEntry worker) {
+    private WorkerReport report(Tasks tasks, WorkerEntry worker) {
       return new WorkerReport(
           worker.incarnation(),
           vms.clock().monotonicMillis(),
-          running.attempts.entrySet().stream()
+          tasks.running.entrySet().stream()
               .map(
                   attempt ->
                       new WorkerReport.Running(
@@ -234,16 +299,16 @@
                           /* speedPercent= */ 100,
                           /* load= */ 0))
               .collect(ImmutableList.toImmutableList()),
-          running.ended.stream()
-              .sorted(Comparator.comparingLong(WorkerReport.Ended::sequence))
-              .collect(ImmutableList.toImmutableList()));
+          ImmutableList.copyOf(tasks.ended));
     }
   }
 
   private final class NoVms implements VmClient {
+    private final int caller = process;
+
     @Override
     public void list(Consumer<Either<CallFailure, ImmutableList<Vm>>> callback) {
-      answer(CALL_MILLIS, callback, Either.right(ImmutableList.of()));
+      answer(caller, CALL_MILLIS, callback, Either.right(ImmutableList.of()));
     }
 
     @Override
@@ -252,7 +317,7 @@
         String pool,
         Authority authority,
         Consumer<Either<CallFailure, VmReply>> callback) {
-      answer(CALL_MILLIS, callback, Either.right(VmReply.BUSY));
+      answer(caller, CALL_MILLIS, callback, Either.right(VmReply.BUSY));
     }
 
     @Override
@@ -261,7 +326,7 @@
         long wave,
         Authority authority,
         Consumer<Either<CallFailure, VmReply>> callback) {
-      answer(CALL_MILLIS, callback, Either.right(VmReply.BUSY));
+      answer(caller, CALL_MILLIS, callback, Either.right(VmReply.BUSY));
     }
   }
 
