--- a/entry/src/test/java/org/sassafraslink/entry/job/SchedulingVm.java
+++ b/entry/src/test/java/org/sassafraslink/entry/job/SchedulingVm.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.Evacuations;
@@ -176,6 +177,7 @@
         /* adviceAddress= */ Optional.empty(),
         /* maxLeaseMillis= */ 10_000,
         /* maxStopMillis= */ 400,
+        /* maxCancellationMillis= */ 3_000,
         /* handoverPauseMillis= */ 3_000,
         /* stopGraceMillis= */ 1_000,
         /* finalStateRetentionMillis= */ 120_000,
@@ -227,7 +229,14 @@
 
     @Override
     public void start(
-        WorkerEntry worker, Start start, Consumer<Either<CallFailure, CommandResponse>> callback) {
+        WorkerEntry worker,
+        Start start,
+        BooleanSupplier permission,
+        Consumer<Either<CallFailure, CommandResponse>> callback) {
+      if (!permission.getAsBoolean()) {
+        answer(caller, CALL_MILLIS, callback, Either.left(CallFailure.NOT_PERFORMED));
+        return;
+      }
       Tasks tasks = tasksByWorker.get(worker.id());
       boolean hasEnded = start.attempt() <= tasks.highestEnded.getOrDefault(start.task(), 0);
       if (!hasEnded && tasks.running.putIfAbsent(start.task(), start.attempt()) == null) {
@@ -255,7 +264,12 @@
         TaskId task,
         int attempt,
         long fencingToken,
+        BooleanSupplier permission,
         Consumer<Either<CallFailure, CommandResponse>> callback) {
+      if (!permission.getAsBoolean()) {
+        answer(caller, CALL_MILLIS, callback, Either.left(CallFailure.NOT_PERFORMED));
+        return;
+      }
       Tasks tasks = tasksByWorker.get(worker.id());
       tasks.highestEnded.merge(task, attempt, Math::max);
       vms.runAfter(STOP_MILLIS, () -> tasks.end(task, attempt, EndKind.STOPPED));
@@ -269,6 +283,7 @@
         int attempt,
         int speedPercent,
         long fencingToken,
+        BooleanSupplier permission,
         Consumer<Either<CallFailure, CommandResponse>> callback) {
       answer(caller, CALL_MILLIS, callback, response(TaskReply.ACCEPTED));
     }
@@ -277,6 +292,7 @@
     public void pollReport(
         WorkerEntry worker,
         ReportRequest request,
+        BooleanSupplier permission,
         Consumer<Either<CallFailure, WorkerReport>> callback) {
       Tasks tasks = tasksByWorker.get(worker.id());
       tasks.ended.removeIf(end -> end.sequence() <= request.acknowledgedSequence());
