--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/CancelledJobsSoakTest.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/CancelledJobsSoakTest.java
@@ -28,6 +28,7 @@
                 /* jobsPerSecond= */ 8,
                 /* trafficMillis= */ 20_000,
                 /* processorTenths= */ 10,
+                /* maxFaultIntervalMillis= */ 3_000,
                 List.of(Fault.KILL, Fault.PAUSE, Fault.WORKER_DRAIN, Fault.RESPONSES_LOST)),
             folder);
     assertEquals(List.of(), result.violations(), result.summary());
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/RunRecord.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/RunRecord.java
@@ -68,6 +68,11 @@
    * @param isCalm whether nothing near it disrupted the sender, the worker or the store
    */
   record Violation(Kind kind, boolean isCalm, int status, String end, String text) {
+    /** Returns what violations are counted by. */
+    String category() {
+      return kind + (isCalm ? " calm " : " disrupted ") + status + " " + end;
+    }
+
     @Override
     public String toString() {
       return text;
