--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/FaultSchedule.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/FaultSchedule.java
@@ -127,10 +127,10 @@
         }
       }
       case PAUSE -> entries.pause(anyDaemon(r), 300 + r.nextInt(MAX_PAUSE_MILLIS - 300));
-      case FEED_SILENT -> setFeedFor(StoreStandIn.Feed.SILENT, 0, 2_000 + r.nextInt(13_000));
+      case FEED_SILENT -> setFeedFor(StoreStandIn.Feed.SILENT, 0, 6_000 + r.nextInt(9_000));
       case FEED_SLOW ->
           setFeedFor(StoreStandIn.Feed.SLOW, 500 + r.nextInt(3_000), 2_000 + r.nextInt(10_000));
-      case FEED_REJECTED -> setFeedFor(StoreStandIn.Feed.REJECTED, 0, 2_000 + r.nextInt(13_000));
+      case FEED_REJECTED -> setFeedFor(StoreStandIn.Feed.REJECTED, 0, 6_000 + r.nextInt(9_000));
       case HISTORY_DISCARDED -> store.discardHistory();
       case STORE_SILENT ->
           changeStoreFor(
