Rig: pause of the lease holder right after a decision was committed

The new fault stops the holder right after the store has answered the transaction with the decision.

--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/FaultSchedule.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/FaultSchedule.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
 
 /** Disrupts daemons, the store and workers, in an order that follows from a seed. */
 final class FaultSchedule {
@@ -18,6 +20,8 @@
     HERD_KILL,
     ROLLING_TERM,
     PAUSE,
+    /** A pause of the holder of the scheduling lease while it sends the starts of a decision. */
+    PAUSE_AT_DECISION,
     FEED_SILENT,
     FEED_SLOW,
     FEED_REJECTED,
@@ -39,6 +43,8 @@
   private static final int FAULTS_PER_PLAY = 6;
   private static final int MAX_PAUSE_MILLIS = 7_000;
   private static final long GRACE_MILLIS = 6_000;
+  private static final long MAX_DECISION_WAIT_SECONDS = 5;
+  private static final int MAX_DECISION_DELAY_MICROS = 4_000;
 
   private final EntryFleet entries;
   private final StoreStandIn store;
@@ -127,6 +133,7 @@
         }
       }
       case PAUSE -> entries.pause(anyDaemon(r), 300 + r.nextInt(MAX_PAUSE_MILLIS - 300));
+      case PAUSE_AT_DECISION -> pauseAtDecision(r);
       case FEED_SILENT -> setFeedFor(StoreStandIn.Feed.SILENT, 0, 6_000 + r.nextInt(9_000));
       case FEED_SLOW ->
           setFeedFor(StoreStandIn.Feed.SLOW, 500 + r.nextInt(3_000), 2_000 + r.nextInt(10_000));
@@ -170,6 +177,20 @@
         .orElseGet(() -> daemons.get(r.nextInt(daemons.size())));
   }
 
+  private void pauseAtDecision(Random r) throws InterruptedException {
+    CountDownLatch decision = new CountDownLatch(1);
+    store.beforeNextDecisionIsAnswered(decision::countDown);
+    if (!decision.await(MAX_DECISION_WAIT_SECONDS, TimeUnit.SECONDS)) {
+      return;
+    }
+    TimeUnit.MICROSECONDS.sleep(r.nextInt(MAX_DECISION_DELAY_MICROS));
+    for (EntryDaemon daemon : entries.daemons()) {
+      if (daemon.node().equals(store.holder())) {
+        entries.pause(daemon, 4_500 + r.nextInt(2_500));
+      }
+    }
+  }
+
   private void killSeveral(Random r) throws IOException, InterruptedException {
     for (EntryDaemon daemon : entries.daemons()) {
       if (r.nextInt(3) == 0) {
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/StoreStandIn.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/StoreStandIn.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.sassafraslink.entry.cancelling.StoredRows.RowId;
 
 /** Simulates the platform's store over HTTP, with the faults of a real one. */
@@ -48,6 +49,7 @@
   private final Random random;
   private final Map<String, Long> partitionFreeMillis = new HashMap<>();
   private final Map<Long, String> holderByEpoch = new ConcurrentHashMap<>();
+  private final AtomicReference<Runnable> decisionListener = new AtomicReference<>(() -> {});
   private volatile String holder = "";
   private volatile Feed feed = Feed.NORMAL;
   private volatile long feedDelayMillis;
@@ -93,6 +95,11 @@
     transactionDelayMillis = millis;
   }
 
+  /** Runs an action when the next assignment of tasks has been committed, before the response. */
+  void beforeNextDecisionIsAnswered(Runnable action) {
+    decisionListener.set(action);
+  }
+
   void discardHistory() {
     rows.discardHistory();
   }
@@ -181,6 +188,9 @@
       return;
     }
     Optional<ArrayNode> conflict = apply(transaction);
+    if (conflict.isEmpty() && keys(transaction).matches(".*jobs/\\w+/b .*")) {
+      decisionListener.getAndSet(() -> {}).run();
+    }
     if (drawn(lostResponses)) {
       events.write("store lost " + conflict.isEmpty() + " " + keys(transaction));
       LoopbackServer.leaveUnanswered(exchange);
