Rig: callers whose submission breaks off, so that a short play shows the lost cancelling

A submission whose connection breaks before its last byte is cancelled at another daemon and sent again seconds later.

--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/CallerConnection.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/CallerConnection.java
@@ -21,6 +21,7 @@
 
   static final String HOST = "q.example";
   static final String API_KEY = "k2ex5wa5xwjbvk9m68k7";
+  static final int DEFAULT_DEADLINE_MILLIS = 3_000;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final Socket socket;
@@ -60,24 +61,9 @@
 
   /** Sends a request and returns the status of the response. */
   int send(String method, String path, String body, int timeoutMillis) {
-    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-    String head =
-        String.join(
-            "\r\n",
-            method + " " + path + " HTTP/1.1",
-            "Host: " + HOST,
-            "Authorization: Bearer " + API_KEY,
-            "X-Sassafraslink-Deadline-Ms: " + timeoutMillis,
-            "Content-Type: application/json",
-            "Content-Length: " + bytes.length,
-            "",
-            "");
     try {
       socket.setSoTimeout(timeoutMillis);
-      ByteArrayOutputStream request = new ByteArrayOutputStream();
-      request.writeBytes(head.getBytes(StandardCharsets.US_ASCII));
-      request.writeBytes(bytes);
-      socket.getOutputStream().write(request.toByteArray());
+      socket.getOutputStream().write(encode(method, path, body, timeoutMillis));
       int status = receive();
       isReusable &= status > 0;
       return status;
@@ -90,6 +76,32 @@
     }
   }
 
+  /** Sends a request without its last byte, as when the connection breaks. */
+  void sendIncomplete(String method, String path, String body) throws IOException {
+    byte[] request = encode(method, path, body, DEFAULT_DEADLINE_MILLIS);
+    isReusable = false;
+    socket.getOutputStream().write(request, 0, request.length - 1);
+  }
+
+  private static byte[] encode(String method, String path, String body, int timeoutMillis) {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    String head =
+        String.join(
+            "\r\n",
+            method + " " + path + " HTTP/1.1",
+            "Host: " + HOST,
+            "Authorization: Bearer " + API_KEY,
+            "X-Sassafraslink-Deadline-Ms: " + timeoutMillis,
+            "Content-Type: application/json",
+            "Content-Length: " + bytes.length,
+            "",
+            "");
+    ByteArrayOutputStream request = new ByteArrayOutputStream();
+    request.writeBytes(head.getBytes(StandardCharsets.US_ASCII));
+    request.writeBytes(bytes);
+    return request.toByteArray();
+  }
+
   private int receive() throws IOException {
     String statusLine = readLine();
     int status = Integer.parseInt(statusLine.substring(9, 12));
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/CancellingCallers.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/CancellingCallers.java
@@ -18,12 +18,12 @@
 final class CancellingCallers {
   static final String SHORT_PREFIX = "/short/";
   static final String LONG_PREFIX = "/long/";
-  private static final int DEADLINE_MILLIS = 3_000;
   private static final int MAX_SUBMISSIONS = 6;
   private static final int MAX_CANCELLATIONS = 40;
   private static final double LONG_SHARE = 0.35;
   private static final double PROMPT_CANCEL_SHARE = 0.7;
   private static final double COPY_SHARE = 0.1;
+  private static final double BROKEN_CONNECTION_SHARE = 0.15;
 
   private final EntryFleet entries;
   private final RunRecord record;
@@ -147,6 +147,10 @@
 
   /** Submits a job until it gets a definite response; sometimes a copy arrives seconds later. */
   private void submit(Job job, Random random) throws InterruptedException {
+    if (random.nextDouble() < BROKEN_CONNECTION_SHARE) {
+      sendIncomplete(entries.choose(random), job);
+      Thread.sleep(random.nextInt(6_000));
+    }
     for (int i = 0; i < MAX_SUBMISSIONS; i++) {
       int status = send(entries.choose(random), "POST", job.path, job.body);
       if (status == 200) {
@@ -186,6 +190,15 @@
     unacknowledged.incrementAndGet();
   }
 
+  private void sendIncomplete(EntryDaemon daemon, Job job) {
+    try (CallerConnection connection = CallerConnection.open(daemon.callerAddress())) {
+      connection.sendIncomplete("POST", job.path, job.body);
+      events.write("caller POST " + job.path + " at " + daemon.node() + ": connection broke");
+    } catch (IOException e) {
+      events.write("caller POST " + job.path + " at " + daemon.node() + ": " + e.getMessage());
+    }
+  }
+
   private int send(EntryDaemon daemon, String method, String path, String body) {
     Queue<CallerConnection> idle =
         idleConnections.computeIfAbsent(
@@ -197,7 +210,7 @@
       if (connection == null) {
         connection = CallerConnection.open(daemon.callerAddress());
       }
-      status = connection.send(method, path, body, DEADLINE_MILLIS);
+      status = connection.send(method, path, body, CallerConnection.DEFAULT_DEADLINE_MILLIS);
       if (connection.isReusable()) {
         idle.add(connection);
       } else {
