--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/StoreStandIn.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/StoreStandIn.java
@@ -1,7 +1,6 @@
 package org.sassafraslink.entry.cancelling;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
@@ -182,24 +181,27 @@
       LoopbackServer.leaveUnanswered(exchange);
       LoopbackServer.TIMERS.schedule(
           () ->
-              events.write("store late " + apply(transaction).isEmpty() + " " + keys(transaction)),
+              events.write(
+                  "store late " + isCommitted(apply(transaction)) + " " + keys(transaction)),
           delay(),
           TimeUnit.MILLISECONDS);
       return;
     }
-    Optional<ArrayNode> conflict = apply(transaction);
-    if (conflict.isEmpty() && keys(transaction).matches(".*jobs/\\w+/b .*")) {
+    ObjectNode response = apply(transaction);
+    boolean isCommitted = isCommitted(response);
+    if (isCommitted && keys(transaction).matches(".*jobs/\\w+/b .*")) {
       decisionListener.getAndSet(() -> {}).run();
     }
     if (drawn(lostResponses)) {
-      events.write("store lost " + conflict.isEmpty() + " " + keys(transaction));
+      events.write("store lost " + isCommitted + " " + keys(transaction));
       LoopbackServer.leaveUnanswered(exchange);
       return;
     }
-    ObjectNode response =
-        LoopbackServer.MAPPER.createObjectNode().put("schemaVersion", rows.version());
-    conflict.ifPresent(current -> response.set("rows", current));
-    respond(exchange, conflict.isEmpty() ? OK : PRECONDITION_FAILED, response);
+    respond(exchange, isCommitted ? OK : PRECONDITION_FAILED, response);
+  }
+
+  private static boolean isCommitted(ObjectNode response) {
+    return !response.has("rows");
   }
 
   /** Returns for how long a transaction waits for its turn in its partition, in ms. */
@@ -217,9 +219,9 @@
     return turnMillis - nowMillis;
   }
 
-  private Optional<ArrayNode> apply(JsonNode transaction) {
-    Optional<ArrayNode> conflict = rows.commit(transaction);
-    if (conflict.isEmpty()) {
+  private ObjectNode apply(JsonNode transaction) {
+    ObjectNode response = rows.commit(transaction);
+    if (isCommitted(response)) {
       for (JsonNode write : transaction.path("writes")) {
         if (write.path("table").asText().equals("control")
             && write.path("key").asText().equals("holder")) {
@@ -230,7 +232,7 @@
         events.write("store committed " + keys(transaction));
       }
     }
-    return conflict;
+    return response;
   }
 
   /** Records the holder in a row of the scheduling lease: node, process, epoch and address. */
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/StoredRows.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/StoredRows.java
@@ -34,10 +34,6 @@
   private long version;
   private long discardedVersion;
 
-  synchronized long version() {
-    return version;
-  }
-
   /** Forgets the changes up to now; a read of changes since an earlier version fails. */
   synchronized void discardHistory() {
     discardedVersion = version;
@@ -63,8 +59,12 @@
     changes.put(row.key(), row);
   }
 
-  /** Applies a transaction; returns the rows that differ from its expectations, if any does. */
-  synchronized Optional<ArrayNode> commit(JsonNode transaction) {
+  /**
+   * Applies a transaction if its expectations hold.
+   *
+   * @return the body of the response, with the current rows if an expectation does not hold
+   */
+  synchronized ObjectNode commit(JsonNode transaction) {
     boolean holds = true;
     ArrayNode current = LoopbackServer.MAPPER.createArrayNode();
     for (JsonNode expectation : transaction.path("expectedRevision")) {
@@ -74,8 +74,10 @@
         current.add(toJson(row));
       }
     }
+    ObjectNode response = LoopbackServer.MAPPER.createObjectNode();
     if (!holds) {
-      return Optional.of(current);
+      response.set("rows", current);
+      return response.put("schemaVersion", version);
     }
     version++;
     for (JsonNode write : transaction.path("writes")) {
@@ -88,7 +90,7 @@
       }
     }
     notifyAll();
-    return Optional.empty();
+    return response.put("schemaVersion", version);
   }
 
   synchronized ObjectNode read(Map<String, String> query, int limit) {
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/WorkerStandIn.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/WorkerStandIn.java
@@ -200,6 +200,7 @@
       return "";
     }
     if (token < highestFencingToken) {
+      events.write(id + " fences " + path + " with " + token + " below " + highestFencingToken);
       return "fence";
     }
     highestFencingToken = token;
