--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/EntryFleet.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/EntryFleet.java
@@ -148,9 +148,7 @@
     daemon.process().destroyForcibly();
     daemon.process().waitFor();
     Thread.sleep(downMillis);
-    if (!isClosed) {
-      daemon.start(jar);
-    }
+    startUnlessClosed(daemon);
     record.disrupted(daemon.node(), fromMillis, events.millis());
     events.write("start " + daemon.node());
   }
@@ -180,7 +178,13 @@
     }
   }
 
-  private void killAll() {
+  private synchronized void startUnlessClosed(EntryDaemon daemon) throws IOException {
+    if (!isClosed) {
+      daemon.start(jar);
+    }
+  }
+
+  private synchronized void killAll() {
     isClosed = true;
     for (EntryDaemon daemon : daemons) {
       if (daemon.process() != null) {
