Red test of starts after a suspension that is shorter than the lease

Cause: StartBound is checked by the monotonic clock, which stops while the VM is suspended. The lease is checked by the wall clock too, but may outlast the suspension.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/cancellation/UnreadCancellationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/cancellation/UnreadCancellationTest.java
@@ -163,6 +163,26 @@
     assertEquals(ImmutableList.of(), fleet.guaranteeChecker.violations());
   }
 
+  /** Guards against a start after a suspension during which its bound, but not the lease, ends. */
+  @ParameterizedTest
+  @CsvSource({"1200, 1700", "1500, 1400", "1500, 1900", "1800, 1900"})
+  void startIsNotSentAfterShortSuspension(int suspendedAfterMillis, int suspendedMillis) {
+    SimFleet fleet = startFleet(suspendedMillis);
+    String scheduler = fleet.schedulingNodeName().orElseThrow();
+    setStartOutcome(fleet, scheduler, CommandOutcome.NOT_DELIVERED);
+    fleet.submitToOpenQueue("job", POOL, longRunningStep(4));
+    fleet.runFor(60);
+    fleet.rowStore.silenceLongPolls(FAULT_MILLIS);
+    fleet.cancel("job");
+    fleet.runFor(suspendedAfterMillis);
+    setStartOutcome(fleet, scheduler, CommandOutcome.RESPONSE_RECEIVED);
+    fleet.nodes.get(scheduler).pause();
+    fleet.runFor(suspendedMillis);
+    fleet.nodes.get(scheduler).resume(/* clockStopMillis= */ suspendedMillis);
+    fleet.runFor(FAULT_MILLIS);
+    assertEquals(ImmutableList.of(), fleet.guaranteeChecker.violations());
+  }
+
   /** Guards against starts that are withheld although nothing is wrong with the job. */
   @ParameterizedTest
   @EnumSource(ReadFault.class)
