Starts expire by both clocks, and slow long polls are awaited

Cause: the bound on starts used the monotonic clock, which stops while the VM is suspended, and a lease may outlast the suspension; a start came 3.7 s after the acknowledgement of a cancellation. Long polls were abandoned although they were answered, only slowly.

Change: what is known of a cancellation has a moment on both clocks. Long polls are replaced after 2 s, the wait of one and the slowest response that is awaited. An answer of the feed that has further rows does not count as up to date.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DecisionPartitionWriter.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DecisionPartitionWriter.java
@@ -19,6 +19,7 @@
 import org.sassafraslink.api.fleet.RowStore.Transaction;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.JobRows.Kind;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 
 /**
  * Writes the progress and the final states of the jobs of one partition, one transaction at a time.
@@ -151,14 +152,14 @@
     commitPending = true;
     urgent = dirtyJobs.size() > sentChangeByJob.size() && urgent;
     long sentGeneration = generation;
-    long sentMillis = clock.monotonicMillis();
-    nextCommitMillis = sentMillis + MIN_COMMIT_INTERVAL_MILLIS;
+    ClockTimes sent = ClockTimes.read(clock);
+    nextCommitMillis = sent.monotonicMillis() + MIN_COMMIT_INTERVAL_MILLIS;
     store.commit(
         transaction,
         outcome -> {
           if (generation == sentGeneration) {
             commitPending = false;
-            applyOutcome(outcome, sentChangeByJob, sentMillis);
+            applyOutcome(outcome, sentChangeByJob, sent);
           }
         });
   }
@@ -192,9 +193,9 @@
     return 0;
   }
 
-  private void applyOutcome(Outcome outcome, Map<Job, Long> sentChangeByJob, long sentMillis) {
+  private void applyOutcome(Outcome outcome, Map<Job, Long> sentChangeByJob, ClockTimes sent) {
     if (outcome instanceof Outcome.Committed committed) {
-      applyCommit(committed.version(), sentChangeByJob, sentMillis);
+      applyCommit(committed.version(), sentChangeByJob, sent);
     } else if (outcome instanceof Outcome.Conflict conflict) {
       applyConflict(conflict, sentChangeByJob);
     } else {
@@ -207,18 +208,18 @@
           "jobs",
           sentChangeByJob.size(),
           "waited",
-          clock.monotonicMillis() - sentMillis,
+          clock.monotonicMillis() - sent.monotonicMillis(),
           "outcome",
           outcome);
     }
   }
 
-  private void applyCommit(long version, Map<Job, Long> sentChangeByJob, long sentMillis) {
+  private void applyCommit(long version, Map<Job, Long> sentChangeByJob, ClockTimes sent) {
     List<Job> committed = new ArrayList<>();
     sentChangeByJob.forEach(
         (job, sentChange) -> {
           job.lastCommittedChange = sentChange;
-          job.notCancelledAtMillis = sentMillis;
+          job.notCancelledAt = sent;
           job.progressRowVersion = version;
           boolean isFinalCommitted = job.state.isFinal() && !job.hasUncommittedChange();
           job.finalCommitted |= isFinalCommitted;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -13,7 +13,7 @@
 import org.sassafraslink.api.fleet.RowStore;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.TaskId;
-import org.sassafraslink.scheduler.cancellation.StartBound;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 import org.sassafraslink.scheduler.queue.SizeClass;
 
 /**
@@ -53,10 +53,10 @@
   boolean cancelRequested;
 
   /**
-   * The latest time at which a transaction has shown that no cancellation of it was stored,
-   * monotonic ms; {@link JobFeed#readAtMillis} may be later.
+   * The latest moment at which a transaction has shown that no cancellation of it was stored;
+   * {@link JobFeed#readAt} may be later.
    */
-  long notCancelledAtMillis = StartBound.NEVER;
+  ClockTimes notCancelledAt = ClockTimes.NEVER;
 
   /**
    * Whether a worker is known to have accepted the start of one of its tasks. A start that may have
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobFeed.java
@@ -11,7 +11,7 @@
 import org.sassafraslink.api.fleet.RowStore.StoredRow;
 import org.sassafraslink.api.fleet.TransferObserver;
 import org.sassafraslink.api.log.EventLog;
-import org.sassafraslink.scheduler.cancellation.StartBound;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 
 /**
  * Reads all rows of jobs, then long-polls the store for changed ones, such as new submissions and
@@ -26,9 +26,9 @@
 
   /**
    * How long long polls may fail or be silent until all rows are read instead, in ms: the wait of
-   * one and the response of a slow store.
+   * one and the slowest response that is awaited.
    */
-  private static final long MAX_SILENCE_MILLIS = 1_500;
+  private static final long MAX_SILENCE_MILLIS = 2_000;
 
   /** Delay before a failed call is repeated, in ms. */
   private static final long RETRY_DELAY_MILLIS = 100;
@@ -58,16 +58,16 @@
   /** The version up to which all changes have been read; -1 if a full read is needed. */
   private long readVersion = -1;
 
-  /** All rows that were stored at this time have been read, monotonic ms. */
-  private long readAtMillis = StartBound.NEVER;
+  /** All rows that were stored at this moment have been read. */
+  private ClockTimes readAt = ClockTimes.NEVER;
 
-  private long fullReadStartMillis;
+  private ClockTimes fullReadStart = ClockTimes.NEVER;
 
   /** When the first long poll since the last answer was sent, monotonic ms; empty if none was. */
   private OptionalLong unansweredSinceMillis = OptionalLong.empty();
 
   /** When bytes of a response to a long poll last arrived, monotonic ms; set on any thread. */
-  private volatile long lastBytesMillis = StartBound.NEVER;
+  private volatile long lastBytesMillis = ClockTimes.NEVER.monotonicMillis();
 
   private long nextCallMillis;
 
@@ -89,7 +89,7 @@
     fullRead = Optional.empty();
     loaded = false;
     readVersion = -1;
-    readAtMillis = StartBound.NEVER;
+    readAt = ClockTimes.NEVER;
     unansweredSinceMillis = OptionalLong.empty();
     nextCallMillis = 0;
   }
@@ -98,12 +98,9 @@
     return loaded;
   }
 
-  /**
-   * Returns a time such that all rows that were stored then have been passed to the listener,
-   * monotonic ms.
-   */
-  long readAtMillis() {
-    return readAtMillis;
+  /** Returns a moment such that all rows that were stored then were passed to the listener. */
+  ClockTimes readAt() {
+    return readAt;
   }
 
   /** Starts or continues a full read, or sends the next long poll, unless a call is pending. */
@@ -118,7 +115,7 @@
       poll(nowMillis);
     } else {
       if (fullRead.isEmpty()) {
-        fullReadStartMillis = nowMillis;
+        fullReadStart = ClockTimes.read(clock);
         fullRead =
             Optional.of(
                 TableRead.create(
@@ -141,7 +138,7 @@
 
   /** Replaces the long polls by a full read. */
   private void abandonPolls(long nowMillis) {
-    log.log("jobs.feed_silent", "after", readVersion, "age", nowMillis - readAtMillis);
+    log.log("jobs.feed_silent", "after", readVersion, "age", nowMillis - readAt.monotonicMillis());
     generation++;
     pollPending = false;
     requireFullRead();
@@ -159,6 +156,7 @@
       unansweredSinceMillis = OptionalLong.of(nowMillis);
     }
     long sentGeneration = generation;
+    ClockTimes sent = ClockTimes.read(clock);
     store.readChanges(
         JobRows.TABLE,
         readVersion,
@@ -167,7 +165,7 @@
         result -> {
           if (generation == sentGeneration) {
             pollPending = false;
-            applyChanges(result, nowMillis);
+            applyChanges(result, sent);
           }
         });
   }
@@ -182,7 +180,7 @@
     public void onComplete(ImmutableList<StoredRow> rows, long version) {
       fullRead = Optional.empty();
       readVersion = version;
-      readAtMillis = fullReadStartMillis;
+      readAt = fullReadStart;
       if (loaded) {
         listener.onChanged(rows);
       } else {
@@ -192,10 +190,12 @@
     }
   }
 
-  private void applyChanges(Either<CallFailure, Rows> result, long sentMillis) {
+  private void applyChanges(Either<CallFailure, Rows> result, ClockTimes sent) {
     if (result.isRight()) {
       readVersion = result.get().version();
-      readAtMillis = sentMillis;
+      if (!result.get().hasMore()) {
+        readAt = sent;
+      }
       unansweredSinceMillis = OptionalLong.empty();
       listener.onChanged(result.get().rows());
       return;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -128,7 +128,7 @@
             settings,
             workers,
             evacuations::startAction,
-            jobFeed::readAtMillis,
+            jobFeed::readAt,
             new TaskCommandListener());
     jobs.setWriterAndSender(progressWriter, commandSender);
     this.workerReportReconciler =
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.RowStore;
@@ -140,11 +141,10 @@
     return CommandPermission.of(() -> isValid() && epoch() == commandEpoch);
   }
 
-  /** As {@link #commandPermission()}, but not beyond {@code untilMillis}, monotonic ms. */
-  CommandPermission commandPermissionUntil(long untilMillis) {
+  /** As {@link #commandPermission()}, but only while a further condition holds on any thread. */
+  CommandPermission commandPermission(BooleanSupplier condition) {
     CommandPermission permission = commandPermission();
-    return CommandPermission.of(
-        () -> clock.monotonicMillis() < untilMillis && permission.getAsBoolean());
+    return CommandPermission.of(() -> condition.getAsBoolean() && permission.getAsBoolean());
   }
 
   /**
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -5,7 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.TaskId;
@@ -14,6 +14,7 @@
 import org.sassafraslink.api.fleet.WorkerClient.Start;
 import org.sassafraslink.api.fleet.WorkerClient.TaskReply;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 import org.sassafraslink.scheduler.cancellation.StartBound;
 import org.sassafraslink.scheduler.command.CommandPermission;
 import org.sassafraslink.scheduler.incarnation.LateCommandBounds;
@@ -87,7 +88,7 @@
   private final LateCommandBounds lateCommands;
   private final WorkerRegistry workers;
   private final StartPolicy startPolicy;
-  private final LongSupplier feedReadAtMillis;
+  private final Supplier<ClockTimes> feedReadAt;
   private final StartBound startBound;
   private final Listener listener;
 
@@ -105,7 +106,7 @@
       SchedulerSettings settings,
       WorkerRegistry workers,
       StartPolicy startPolicy,
-      LongSupplier feedReadAtMillis,
+      Supplier<ClockTimes> feedReadAt,
       Listener listener) {
     this.client = client;
     this.clock = clock;
@@ -116,7 +117,7 @@
     this.lateCommands = settings.lateCommandBounds();
     this.workers = workers;
     this.startPolicy = startPolicy;
-    this.feedReadAtMillis = feedReadAtMillis;
+    this.feedReadAt = feedReadAt;
     this.startBound = new StartBound(settings.maxCancellationMillis());
     this.listener = listener;
   }
@@ -221,10 +222,7 @@
     long sentMillis = clock.monotonicMillis();
     long sentRegistration = worker.registration;
     long fencingToken = worker.fencingToken(lease.epoch());
-    CommandPermission permission =
-        isStart
-            ? lease.commandPermissionUntil(latestStartMillis(task.job))
-            : lease.commandPermission();
+    CommandPermission permission = isStart ? startPermission(task.job) : lease.commandPermission();
     java.util.function.Consumer<Either<CallFailure, CommandResponse>> onResponse =
         response -> {
           if (response.isRight()) {
@@ -291,21 +289,29 @@
     } else {
       task.startWithheldMillis = 0;
     }
-    return action == StartAction.SEND && isKnownUncancelled(task.job, now);
+    return action == StartAction.SEND && confirmUncancelled(task.job);
   }
 
-  private boolean isKnownUncancelled(Job job, long nowMillis) {
-    boolean isKnown = nowMillis < latestStartMillis(job);
+  /**
+   * Returns whether a job is known not to have been cancelled long ago, and has that found out
+   * otherwise.
+   */
+  private boolean confirmUncancelled(Job job) {
+    boolean isKnown = startBound.maySend(notCancelledAt(job), ClockTimes.read(clock));
     if (!isKnown) {
       listener.onCancellationUnknown(job);
     }
     return isKnown;
   }
 
-  /** Returns until when starts of a job may be written, monotonic ms. */
-  private long latestStartMillis(Job job) {
-    return startBound.latestSendMillis(
-        Math.max(job.notCancelledAtMillis, feedReadAtMillis.getAsLong()));
+  private CommandPermission startPermission(Job job) {
+    ClockTimes notCancelledAt = notCancelledAt(job);
+    return lease.commandPermission(
+        () -> startBound.maySend(notCancelledAt, ClockTimes.read(clock)));
+  }
+
+  private ClockTimes notCancelledAt(Job job) {
+    return ClockTimes.later(job.notCancelledAt, feedReadAt.get());
   }
 
   /**
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/cancellation/StartBound.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/cancellation/StartBound.java
@@ -14,16 +14,13 @@
   /** Part of the bound until which a start may be sent; the rest is left for its way. */
   private static final double SENDING_FRACTION = 2.0 / 3;
 
-  /** A time before all others at which a job is known not to be cancelled, monotonic ms. */
-  public static final long NEVER = Long.MIN_VALUE / 2;
-
   /**
-   * Returns until when a start may be written to its connection, monotonic ms.
+   * Returns whether a start may be written to its connection.
    *
-   * @param notCancelledAtMillis the latest time at which the job is known to have had no stored
-   *     cancellation, monotonic ms
+   * @param notCancelledAt the latest moment at which the job is known to have had no stored
+   *     cancellation
    */
-  public long latestSendMillis(long notCancelledAtMillis) {
-    return notCancelledAtMillis + (long) (maxCancellationMillis * SENDING_FRACTION);
+  public boolean maySend(ClockTimes notCancelledAt, ClockTimes now) {
+    return notCancelledAt.isYoungerThan((long) (maxCancellationMillis * SENDING_FRACTION), now);
   }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/cancellation/UnreadCancellationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/cancellation/UnreadCancellationTest.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.EnumSet;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -183,6 +184,21 @@
     assertEquals(ImmutableList.of(), fleet.guaranteeChecker.violations());
   }
 
+  /** Guards against a withheld start that is not sent although its job is not cancelled. */
+  @Test
+  void withheldStartIsSentLater() {
+    SimFleet fleet = startFleet(1);
+    String scheduler = fleet.schedulingNodeName().orElseThrow();
+    setStartOutcome(fleet, scheduler, CommandOutcome.NOT_DELIVERED);
+    fleet.submitToOpenQueue("job", POOL, longRunningStep(4));
+    fleet.runFor(200);
+    ReadFault.READS_FAIL.begin(fleet);
+    fleet.runFor(8_000);
+    setStartOutcome(fleet, scheduler, CommandOutcome.RESPONSE_RECEIVED);
+    fleet.runFor(1_000);
+    assertTrue(fleet.guaranteeChecker.firstStartMillis("job").isPresent());
+  }
+
   /** Guards against starts that are withheld although nothing is wrong with the job. */
   @ParameterizedTest
   @EnumSource(ReadFault.class)
