--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PeakTakeoverTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PeakTakeoverTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sassafraslink.api.fleet.JobSpec;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.scheduler.FaultMatrixTest.Fault;
@@ -119,6 +120,26 @@
     assertTrue(fleet.nodes.get(node).isScheduling());
   }
 
+  /** As above, with the slow store beginning at other moments between two renewals. */
+  @ParameterizedTest
+  @ValueSource(
+      ints = {
+        0, 50, 100, 150, 200, 250, 300, 350, 400, 450, 500, 550, 600, 650, 700, 750, 800, 850, 900,
+        950
+      })
+  void workingSchedulerIsNotReplacedAtAnyMoment(int phaseMillis) {
+    awaitScheduler();
+    fleet.runFor(phaseMillis);
+    String node = fleet.schedulingNodeName().orElseThrow();
+    fleet.rowStore.setTransactionMillis(700);
+    fleet.runFor(5_000);
+    fleet.rowStore.setTransactionMillis(0);
+    fleet.nodes.get(node).setHeartbeatsLost(true);
+    fleet.runFor(5_000);
+    assertEquals(node, fleet.holderNode().orElseThrow());
+    assertTrue(fleet.nodes.get(node).isScheduling());
+  }
+
   @Test
   void schedulerThatIsReplacedTwiceWithinASecondKeepsAllGuarantees() {
     playPeaks(
