Plays of cancelled jobs end all daemons that they start

Cause: a kill and a rolling stop may hit the same daemon at once. Both then start it, and only the second process is kept, although the first has the address. It outlives the play and answers the callers of the next one from the store of its own play.

Change: a fault starts a daemon again only if no other has done so.

--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/EntryFleet.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/EntryFleet.java
@@ -148,7 +148,7 @@
     daemon.process().destroyForcibly();
     daemon.process().waitFor();
     Thread.sleep(downMillis);
-    startUnlessClosed(daemon);
+    startIfEnded(daemon);
     record.disrupted(daemon.node(), fromMillis, events.millis());
     events.write("start " + daemon.node());
   }
@@ -178,8 +178,9 @@
     }
   }
 
-  private synchronized void startUnlessClosed(EntryDaemon daemon) throws IOException {
-    if (!isClosed) {
+  /** Starts a daemon again, unless another fault that ended it has done so meanwhile. */
+  private synchronized void startIfEnded(EntryDaemon daemon) throws IOException {
+    if (!isClosed && !daemon.isAlive()) {
       daemon.start(jar);
     }
   }
