A long-running task is stopped only for a place that is held for it

Cause: planned work stopped such a task without asking where it would go. Its worker was then closed to it, and could not become empty either, as the bound of the step forbade the next stop. A waiting task had no claim on scarce capacity: pools with a peak keep 1.25 times their share, and filled each worker again that was drained for others.

A wave drains a worker only after its long-running tasks have places. Without one the pool gets VMs: workers of other pools that are empty first get no short tasks any more. A drained worker without a command is opened again for a waiting task, a quarantined one after 2 s, and a VM that is late is not counted on. The simulation checks the users' rule in every test.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/AcceptedMaintenance.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/AcceptedMaintenance.java
@@ -40,6 +40,11 @@
     acceptedByVm.clear();
   }
 
+  /** Returns whether the maintenance of a VM was accepted and no list shows its effect yet. */
+  boolean contains(String vm) {
+    return acceptedByVm.containsKey(vm);
+  }
+
   /** Adds the worker on a VM whose maintenance was accepted at {@code nowMillis}. */
   void add(String vm, Worker worker, long nowMillis) {
     acceptedByVm.put(vm, new Accepted(worker, nowMillis));
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Job.java
@@ -26,6 +26,9 @@
   final JobSpec spec;
   final TeamUsage teamUsage;
 
+  /** Whether it has a step whose tasks run until it is cancelled. */
+  final boolean isLongRunning;
+
   /** When this process first read the job, monotonic ms. */
   final long firstSeenMillis;
 
@@ -92,6 +95,7 @@
     this.spec = spec;
     this.decisionPartition = JobRows.decisionPartition(spec.id());
     this.teamUsage = team;
+    this.isLongRunning = spec.steps().stream().anyMatch(StepSpec::longRunning);
     this.firstSeenMillis = firstSeenMillis;
     ImmutableList.Builder<ImmutableList<ImmutableList<Task>>> builder = ImmutableList.builder();
     for (int occurrence = 0; occurrence < spec.occurrences(); occurrence++) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobOrder.java
@@ -81,8 +81,7 @@
    * @param wallMillis the present time, wall-clock ms
    */
   Rank rankOf(Job job, QueueConfig queue, long nowMillis, long wallMillis) {
-    boolean isLongRunning = job.spec.steps().stream().anyMatch(StepSpec::longRunning);
-    if (isLongRunning) {
+    if (job.isLongRunning) {
       return new Rank(LONG_RUNNING, job.spec.acceptedMillis());
     }
     if (job.isExcess) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MaintenanceController.java
@@ -23,9 +23,9 @@
  * Drains the VMs of the requested waves and commands the platform to start their maintenance.
  *
  * <p>A VM is drained first: its worker gets no new tasks, its short tasks (those that are not
- * long-running) may end, and its long-running tasks are stopped when {@link Availability} allows
- * it, to be placed elsewhere. Short tasks are stopped too if they run for longer than {@link
- * WavePace#drainMillis} after the drain has begun.
+ * long-running) may end, and its long-running tasks are stopped when {@link Availability} allows it
+ * and {@link LongRunningRelocations} holds a place for them elsewhere. Short tasks are stopped too
+ * if they run for longer than {@link WavePace#drainMillis} after the drain has begun.
  */
 final class MaintenanceController {
   /** Delay before a failed command for the maintenance of a VM is repeated, in ms. */
@@ -34,6 +34,8 @@
   /** How much longer than a move or the maintenance of a VM one that has left is absent, in ms. */
   private static final long ABSENCE_MARGIN_MILLIS = 1_000;
 
+  private static final String CORDON_REASON_PREFIX = "wave ";
+
   /** The operations of the scheduler that this class and {@link VmMover} call. */
   interface Actions {
     /** Stops the current attempt of a task. */
@@ -57,6 +59,7 @@
   private final WorkerRegistry workers;
   private final VmInventory vmInventory;
   private final VmCommandLog vmCommandLog;
+  private final LongRunningRelocations relocations;
   private final Actions actions;
 
   private final WaveProgressRows progressRows;
@@ -87,6 +90,7 @@
       WorkerRegistry workers,
       VmInventory vmInventory,
       VmCommandLog vmCommandLog,
+      LongRunningRelocations relocations,
       WaveProgressRows progressRows,
       Actions actions) {
     this.vmClient = vmClient;
@@ -97,6 +101,7 @@
     this.workers = workers;
     this.vmInventory = vmInventory;
     this.vmCommandLog = vmCommandLog;
+    this.relocations = relocations;
     this.progressRows = progressRows;
     this.actions = actions;
     this.acceptedMaintenance =
@@ -304,9 +309,18 @@
     int down = countDownVms(progress);
     // Other VMs are drained while some are down, so that their maintenance can start at once when
     // those are up again.
-    int drainCount = Math.min(remaining.size(), maxDown);
-    for (String vm : remaining.subList(0, drainCount)) {
+    int slots = maxDown;
+    for (String vm : remaining) {
       Optional<Worker> worker = workers.listedOnVm(vm);
+      if (slots == 0) {
+        break;
+      }
+      if (worker.filter(found -> isKeptOpen(found, nowMillis)).isPresent()) {
+        continue;
+      }
+      if (worker.filter(MaintenanceController::isStuck).isEmpty()) {
+        slots--;
+      }
       worker.ifPresent(found -> cordonWorker(found, progress, nowMillis));
       boolean isEmpty = worker.map(Worker::isSafeToRemove).orElse(true);
       boolean isUp = vmInventory.findVm(vm).map(found -> found.state() == VmState.UP).orElse(false);
@@ -320,9 +334,44 @@
     }
   }
 
+  private boolean isKeptOpen(Worker worker, long nowMillis) {
+    return worker.cordonReason.isEmpty()
+        && !mayGoDown(worker.entry.vm())
+        && !relocations.mayDrain(worker, nowMillis);
+  }
+
+  /** Returns whether a command that has or may have been sent may still take a VM down. */
+  private boolean mayGoDown(String vm) {
+    return vm.equals(commandedVm)
+        || acceptedMaintenance.contains(vm)
+        || progressByWave.values().stream()
+            .anyMatch(progress -> progress.downSinceMillis.containsKey(vm));
+  }
+
+  /** Returns whether a long-running task on a drained worker has lost its destination. */
+  private static boolean isStuck(Worker worker) {
+    return worker.tasks().stream()
+        .anyMatch(
+            task ->
+                task.step.longRunning()
+                    && task.phase == TaskPhase.RUNNING
+                    && task.destination == null);
+  }
+
+  /** Returns whether a worker is drained for a wave and no command may take its VM down. */
+  boolean mayReopen(Worker worker) {
+    return worker.cordonReason.startsWith(CORDON_REASON_PREFIX) && !mayGoDown(worker.entry.vm());
+  }
+
+  /** Opens a worker for tasks again that is drained for a wave. */
+  void reopen(Worker worker) {
+    log.log("worker.reopened", "worker", worker.entry.id(), "machine", worker.entry.vm());
+    worker.cordonReason = "";
+  }
+
   private void cordonWorker(Worker worker, WaveProgress progress, long nowMillis) {
     if (worker.cordonReason.isEmpty()) {
-      worker.cordonReason = "wave " + progress.wave.number();
+      worker.cordonReason = CORDON_REASON_PREFIX + progress.wave.number();
       worker.cordonedMillis = nowMillis;
       log.log(
           "worker.cordoned",
@@ -345,7 +394,9 @@
         continue;
       }
       if (task.step.longRunning()) {
-        if (nowMillis >= stopsAllowedFromMillis && Availability.allowsStop(task, nowMillis)) {
+        if (nowMillis >= stopsAllowedFromMillis
+            && relocations.hasPlace(task, nowMillis)
+            && Availability.allowsStop(task, nowMillis)) {
           actions.stopTask(task, "wave");
         }
       } else if (isOverdue) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/MovableVms.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/MovableVms.java
@@ -48,7 +48,7 @@
     for (Worker worker : emptyWorkersBy(worker -> isDueForMaintenance.test(worker.entry.vm()))) {
       String currentPool = worker.entry.pool();
       if (!currentPool.equals(pool)
-          && poolNeeds.hasMoreThanMinWorkers(currentPool)
+          && (worker.isSurplusForLongRunning || poolNeeds.hasMoreThanMinWorkers(currentPool))
           && isWorkerMovable(worker, pool, nowMillis)
           && canSpareForOther(worker, backlog, nowMillis)) {
         return Optional.of(worker.entry.vm());
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -15,6 +15,7 @@
 import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.Resources;
+import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.OverloadDeferral.InTimeJob;
 
@@ -23,6 +24,9 @@
  * capacities and the teams' upper limits.
  */
 final class Placement {
+  /** A long-running task waits this long at most for the end of a quarantine, in ms. */
+  private static final long MAX_WAIT_FOR_QUARANTINED_MILLIS = 2_000;
+
   private final PublishedConfig config;
   private final WorkerRegistry workers;
   private final JobOrder jobOrder;
@@ -95,14 +99,20 @@
           candidate.queue().pool(), pool -> usableWorkers(pool, nowMillis));
     }
     Set<Job> changedJobs = new LinkedHashSet<>();
+    Map<String, List<Worker>> forInTimeByPool = new HashMap<>();
     Map<String, List<Worker>> nonSurplusByPool = new HashMap<>();
     usableByPool.forEach(
-        (pool, usable) ->
-            nonSurplusByPool.put(pool, usable.stream().filter(isSurplus.negate()).toList()));
+        (pool, usable) -> {
+          forInTimeByPool.put(
+              pool, usable.stream().filter(worker -> !worker.isSurplusForLongRunning).toList());
+          nonSurplusByPool.put(pool, usable.stream().filter(isSurplus.negate()).toList());
+        });
     for (Candidate candidate : sortByRank(candidates, usableByPool, nowMillis, wallMillis)) {
       candidate.job().justifiesMoreWorkers = candidate.rank().justifiesMoreWorkers();
       Map<String, List<Worker>> workersByPool =
-          candidate.rank().justifiesMoreWorkers() ? usableByPool : nonSurplusByPool;
+          !candidate.rank().justifiesMoreWorkers()
+              ? nonSurplusByPool
+              : candidate.job().isLongRunning ? usableByPool : forInTimeByPool;
       if (placeCandidate(candidate, workersByPool.get(candidate.queue().pool()), nowMillis)) {
         changedJobs.add(candidate.job());
         overloadDeferral.recordStart(candidate.job(), candidate.queue(), nowMillis);
@@ -166,10 +176,14 @@
       tasksByStep.computeIfAbsent(stepKey, key -> new ArrayList<>()).add(task);
     }
     for (List<Task> tasks : tasksByStep.values()) {
-      isAnyPlaced |=
-          tasks.get(0).step.gang()
-              ? placeGang(candidate, tasks, available, nowMillis)
-              : placeIndependently(candidate, tasks, available, nowMillis);
+      StepSpec step = tasks.get(0).step;
+      if (step.gang()) {
+        isAnyPlaced |= placeGang(candidate, tasks, available, nowMillis);
+      } else if (step.longRunning()) {
+        isAnyPlaced |= placeLongRunning(candidate, tasks, available, nowMillis);
+      } else {
+        isAnyPlaced |= placeIndependently(candidate, tasks, available, nowMillis);
+      }
     }
     return isAnyPlaced;
   }
@@ -205,6 +219,53 @@
     return isAnyPlaced;
   }
 
+  /** Assigns long-running tasks of one step, for each of which room may be held elsewhere. */
+  private boolean placeLongRunning(
+      Candidate candidate, List<Task> tasks, List<Worker> available, long nowMillis) {
+    ImmutableMap<String, String> tickets = ticketsFor(candidate, tasks, available, nowMillis);
+    List<Worker> eligible = workersWithTickets(available, tickets, candidate.queue());
+    Resources teamLimit = config.upperLimitOf(candidate.job().spec.team());
+    List<Task> unplaced = new ArrayList<>();
+    boolean isAnyPlaced = false;
+    for (Task task : tasks) {
+      if (!candidate.job().teamUsage.admits(task.teamResources(), teamLimit)) {
+        break;
+      }
+      Optional<Worker> worker =
+          WorkerChoice.chooseWorker(task, eligible)
+              .or(() -> lastResortFor(task, candidate.queue(), tickets, nowMillis));
+      if (worker.isPresent()) {
+        assign(task, worker.get(), task.attempt + 1, tickets);
+        isAnyPlaced = true;
+      } else {
+        unplaced.add(task);
+      }
+    }
+    if (!unplaced.isEmpty()) {
+      onUnplaced(candidate, unplaced, tickets);
+      adviceTickets.requestIfRequired(unplaced.get(0), candidate.queue(), available, nowMillis);
+    }
+    return isAnyPlaced;
+  }
+
+  /**
+   * Returns a quarantined worker for a long-running task that has waited for some time. It may fail
+   * there too, but nothing else is done for it meanwhile.
+   */
+  private Optional<Worker> lastResortFor(
+      Task task, QueueConfig queue, ImmutableMap<String, String> tickets, long nowMillis) {
+    long waitingSinceMillis = Math.max(task.endedMillis, task.job.firstSeenMillis);
+    if (nowMillis - waitingSinceMillis < MAX_WAIT_FOR_QUARANTINED_MILLIS) {
+      return Optional.empty();
+    }
+    List<Worker> quarantined =
+        workers.listedInPool(queue.pool()).stream()
+            .filter(worker -> WorkerChoice.isUsable(worker, nowMillis))
+            .filter(worker -> quarantine.isQuarantined(worker, nowMillis))
+            .toList();
+    return WorkerChoice.chooseWorker(task, workersWithTickets(quarantined, tickets, queue));
+  }
+
   /**
    * Assigns either all tasks of a gang, with the same attempt number, or none. Assigns none while
    * some task of the gang cannot start yet.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolAutoscaler.java
@@ -43,6 +43,7 @@
   private final PublishedConfig config;
   private final VmInventory vmInventory;
   private final VmMover vmMover;
+  private final LongRunningRelocations relocations;
 
   private final EmptyWorkers emptyWorkers = new EmptyWorkers();
   private final PoolNeeds poolNeeds;
@@ -55,6 +56,9 @@
   /** How many VMs for jobs in time the last adjustment did not find, by pool. */
   private ImmutableMap<String, Long> missingByPool = ImmutableMap.of();
 
+  /** How many of these are for long-running tasks, by pool. */
+  private ImmutableMap<String, Long> missingForLongRunningByPool = ImmutableMap.of();
+
   private long nextAdjustmentMillis;
 
   PoolAutoscaler(
@@ -66,12 +70,14 @@
       DurationModel durationModel,
       VmInventory vmInventory,
       VmMover vmMover,
+      LongRunningRelocations relocations,
       Predicate<String> isDueForMaintenance) {
     this.lease = lease;
     this.workers = workers;
     this.config = config;
     this.vmInventory = vmInventory;
     this.vmMover = vmMover;
+    this.relocations = relocations;
     this.poolNeeds = new PoolNeeds(poolDemand);
     this.surplusWorkers = new SurplusWorkers(durationModel);
     this.movableVms =
@@ -93,7 +99,12 @@
     vmMover.reset();
     emptyWorkers.reset();
     surplusWorkers.clear();
+    clearMissing();
+  }
+
+  private void clearMissing() {
     missingByPool = ImmutableMap.of();
+    missingForLongRunningByPool = ImmutableMap.of();
   }
 
   /** Moves VMs to pools that are short of them, and powers off idle VMs that no pool needs. */
@@ -115,7 +126,7 @@
     vmInventory.refreshIfDue(nowMillis);
     if (!vmInventory.isFresh(nowMillis)) {
       // No VM can be moved now, so late and excess jobs need not leave workers free.
-      missingByPool = ImmutableMap.of();
+      clearMissing();
       surplusWorkers.clear();
       return;
     }
@@ -179,7 +190,39 @@
         newSurplus.addAll(surplusWorkers.choose(donor, movable, (int) missing, nowMillis));
       }
     }
-    surplusWorkers.replace(newSurplus);
+    Set<Worker> forLongRunning = chooseForLongRunning(pools, nowMillis);
+    newSurplus.addAll(forLongRunning);
+    surplusWorkers.replace(newSurplus, forLongRunning);
+  }
+
+  /**
+   * Returns the workers whose VMs go to pools that lack them for long-running tasks: those that are
+   * empty first, whatever their own pools need, as all work of these tasks is at a standstill.
+   */
+  private Set<Worker> chooseForLongRunning(List<String> pools, long nowMillis) {
+    Set<Worker> chosen = new HashSet<>();
+    missingForLongRunningByPool.forEach(
+        (shortPool, missing) -> {
+          List<Worker> movable =
+              pools.stream()
+                  .filter(pool -> !pool.equals(shortPool))
+                  .filter(pool -> !missingForLongRunningByPool.containsKey(pool))
+                  .flatMap(pool -> workers.listedInPool(pool).stream())
+                  .filter(worker -> !chosen.contains(worker))
+                  .filter(worker -> movableVms.isMovableOnceEmpty(worker, shortPool, nowMillis))
+                  .toList();
+          chosen.addAll(
+              surplusWorkers.firstEmpty(
+                  movable,
+                  pool -> poolNeeds.workersToGive(pool) - countInPool(chosen, pool),
+                  missing.intValue(),
+                  nowMillis));
+        });
+    return chosen;
+  }
+
+  private static int countInPool(Set<Worker> workers, String pool) {
+    return (int) workers.stream().filter(worker -> worker.entry.pool().equals(pool)).count();
   }
 
   private boolean mayDrain(Worker worker, List<String> targetPools, long nowMillis) {
@@ -209,6 +252,7 @@
       }
     }
     Map<String, Long> notFound = new LinkedHashMap<>();
+    Map<String, Long> notFoundForLongRunning = new LinkedHashMap<>();
     while (!shortages.isEmpty() && vmMover.canStartMove(nowMillis)) {
       PoolShares.Shortage shortage = poolNeeds.shares().next(shortages.values()).orElseThrow();
       String pool = shortage.pool();
@@ -216,6 +260,7 @@
       if (vm.isEmpty()) {
         shortageLog.logShortage(shortage, workers.all(), backlog, nowMillis);
         notFound.put(pool, shortage.missing());
+        notFoundForLongRunning.put(pool, missingWithinEqualPart(shortage, pools.size()));
         shortages.remove(pool);
       } else {
         startMove(vm.get(), pool, reasonForMove(pool, backlog, nowMillis), nowMillis);
@@ -229,9 +274,25 @@
           long missing = shortage.missing() - movableVms.countStandbyVmsFor(pool, nowMillis);
           if (missing > 0) {
             notFound.put(pool, missing);
+            notFoundForLongRunning.put(pool, missingWithinEqualPart(shortage, pools.size()));
           }
         });
     missingByPool = ImmutableMap.copyOf(notFound);
+    notFoundForLongRunning.values().removeIf(missing -> missing == 0);
+    missingForLongRunningByPool = ImmutableMap.copyOf(notFoundForLongRunning);
+  }
+
+  /**
+   * Returns how many VMs a pool may have drained in other pools for its long-running tasks: no more
+   * than give it an equal part of all VMs, since a step can be wider than the fleet.
+   */
+  private long missingWithinEqualPart(PoolShares.Shortage shortage, int pools) {
+    long missing =
+        Math.min(
+            shortage.missingForLongRunning(),
+            relocations.workersToAdd(shortage.pool(), poolNeeds.vmCapacityOf(shortage.pool())));
+    long equalPart = countVmsInService() / pools;
+    return Math.max(0, Math.min(missing, equalPart - shortage.vms()));
   }
 
   /** Returns how many VMs a pool lacks for jobs in time, besides those on their way. */
@@ -240,22 +301,23 @@
     PoolUsage usage = poolNeeds.usageOf(pool);
     Resources neededForArrivals = poolNeeds.neededForArrivals(pool, nowMillis);
     boolean needsNone = poolBacklog.tasks() == 0 && neededForArrivals.equals(Resources.NONE);
-    int forLongRunning = backlog.workersForLongRunning(pool);
+    Resources vmCapacity = poolNeeds.vmCapacityOf(pool);
+    int forLongRunning =
+        Math.max(backlog.workersForLongRunning(pool), relocations.workersToAdd(pool, vmCapacity));
     int missing =
         needsNone
             ? 0
             : PoolDemand.missingVms(
-                poolBacklog,
-                neededForArrivals,
-                forLongRunning,
-                usage,
-                poolNeeds.vmCapacityOf(pool));
+                poolBacklog, neededForArrivals, forLongRunning, usage, vmCapacity);
     long onTheirWay = vmMover.countMovesTo(pool);
+    // A VM that is late may never arrive, and nothing else is done for these tasks meanwhile.
+    long missingForLongRunning =
+        Math.max(0, forLongRunning - vmMover.countTimelyMovesTo(pool, nowMillis));
     return new PoolShares.Shortage(
         pool,
         usage.uncordonedWorkers() + onTheirWay,
-        Math.max(0, missing - onTheirWay),
-        Math.max(0, forLongRunning - onTheirWay));
+        Math.max(missingForLongRunning, missing - onTheirWay),
+        missingForLongRunning);
   }
 
   private String reasonForMove(String pool, Backlog backlog, long nowMillis) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/PoolNeeds.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/PoolNeeds.java
@@ -20,9 +20,12 @@
    */
   private static final double KEPT_SHARE_FACTOR = 1.25;
 
-  /** Number of workers that a pool always keeps. */
+  /** Number of workers that a pool keeps unless the tasks of {@link #workersToGive} need them. */
   static final int MIN_WORKERS = 2;
 
+  /** Number of workers that a pool always keeps. */
+  private static final int MIN_WORKERS_BESIDE_LONG_RUNNING = 1;
+
   private final PoolDemand poolDemand;
   private final Map<String, PoolUsage> usageByPool = new HashMap<>();
   private PoolShares shares = PoolShares.of(List.of(), /* totalVms= */ 0);
@@ -89,6 +92,11 @@
     return usageOf(pool).uncordonedWorkers() > MIN_WORKERS;
   }
 
+  /** Returns how many workers a pool can give up for long-running tasks of other pools. */
+  int workersToGive(String pool) {
+    return Math.max(0, usageOf(pool).uncordonedWorkers() - MIN_WORKERS_BESIDE_LONG_RUNNING);
+  }
+
   /** Removes the capacity of a worker whose VM leaves its pool. */
   void removeCapacityOf(Worker worker) {
     usageByPool.computeIfPresent(
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -37,6 +37,7 @@
   private final VmInventory vmInventory;
   private final VmCommandLog commandLog;
   private final ZoneEvacuations evacuations;
+  private final LongRunningRelocations relocations;
   private final MaintenanceController maintenance;
   private final VmMover vmMover;
   private final PoolAutoscaler autoscaler;
@@ -147,6 +148,9 @@
     this.vmInventory = new VmInventory(vmClient, clock, log);
     this.commandLog = new VmCommandLog(tracked, clock, log, lease, settings.handoverPauseMillis());
     MaintenanceActions actions = new MaintenanceActions();
+    this.adviceTickets = new AdviceTicketCache(adviceClient, clock, log, jobs::requestPlacement);
+    this.relocations =
+        new LongRunningRelocations(config, workers, quarantine, adviceTickets, durationModel);
     this.maintenance =
         new MaintenanceController(
             vmClient,
@@ -157,6 +161,7 @@
             workers,
             vmInventory,
             commandLog,
+            relocations,
             new WaveProgressRows(tracked, clock, log, lease),
             actions);
     PoolDemand poolDemand = new PoolDemand(demandRate);
@@ -182,13 +187,13 @@
             durationModel,
             vmInventory,
             vmMover,
+            relocations,
             maintenance::isDueForMaintenance);
     this.poolStateLog =
         new PoolStateLog(
             log, config, workers::listedInPool, autoscaler::neededInTime, vmMover::countMovesTo);
     this.pendingCounts = new PendingJobCounts(store, lease);
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
-    this.adviceTickets = new AdviceTicketCache(adviceClient, clock, log, jobs::requestPlacement);
     this.placement =
         new Placement(
             config, workers, durationModel, quarantine, adviceTickets, autoscaler::isSurplus, log);
@@ -294,8 +299,11 @@
       leaseRenewer.renewIfDue(worker, now);
     }
     commandSender.resendIfDue(now);
+    relocations.planIfDue(
+        jobs.all(), now, clock.wallMillis(), maintenance::mayReopen, maintenance::reopen);
     maintenance.advanceWaves(placement.backlog(), autoscaler.isAnyPoolGrowing(), now);
-    commandSender.stopLongRunningOnDraining(workers.all());
+    commandSender.stopLongRunningOnDraining(
+        workers.all(), task -> relocations.hasPlace(task, now), now);
     placementRounds.placeIfDue(now);
     autoscaler.adjustPools(placement.backlog(), now);
     jobs.recordBegunJobsIfDue(now);
@@ -362,6 +370,7 @@
     leaseRenewer.reset();
     jobFeed.reset();
     announcedJobs.reset();
+    relocations.reset();
     adviceTickets.reset();
     quarantine.reset();
     pendingCounts.reset();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SurplusWorkers.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SurplusWorkers.java
@@ -3,9 +3,13 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.scheduler.capacity.DrainChoice;
 
@@ -25,18 +29,56 @@
   }
 
   void clear() {
-    replace(new HashSet<>());
+    replace(Set.of(), Set.of());
   }
 
   boolean contains(Worker worker) {
     return surplus.contains(worker);
   }
 
-  /** Replaces the surplus workers. */
-  void replace(Set<Worker> newSurplus) {
-    surplus.forEach(worker -> worker.isSurplus = false);
+  /**
+   * Replaces the surplus workers.
+   *
+   * @param forLongRunning those of them that get no short tasks at all
+   */
+  void replace(Set<Worker> newSurplus, Set<Worker> forLongRunning) {
+    surplus.forEach(
+        worker -> {
+          worker.isSurplus = false;
+          worker.isSurplusForLongRunning = false;
+        });
     newSurplus.forEach(worker -> worker.isSurplus = true);
-    surplus = newSurplus;
+    forLongRunning.forEach(worker -> worker.isSurplusForLongRunning = true);
+    surplus = new HashSet<>(newSurplus);
+  }
+
+  /**
+   * Returns the workers to drain for long-running tasks: of those without such tasks the ones that
+   * are empty first, and of each pool no more than it can give.
+   */
+  List<Worker> firstEmpty(
+      Collection<Worker> movable,
+      ToIntFunction<String> workersToGive,
+      int maxWorkers,
+      long nowMillis) {
+    List<Worker> chosen = new ArrayList<>();
+    Map<String, Integer> givenByPool = new HashMap<>();
+    movable.stream()
+        .filter(SurplusWorkers::isFreeOfLongRunning)
+        .sorted(
+            Comparator.<Worker>comparingDouble(
+                    worker -> candidateOf(worker, nowMillis).emptyInMillis())
+                .thenComparing(worker -> worker.entry.id()))
+        .forEach(
+            worker -> {
+              String pool = worker.entry.pool();
+              int given = givenByPool.getOrDefault(pool, 0);
+              if (chosen.size() < maxWorkers && given < workersToGive.applyAsInt(pool)) {
+                givenByPool.put(pool, given + 1);
+                chosen.add(worker);
+              }
+            });
+    return chosen;
   }
 
   /**
@@ -48,7 +90,7 @@
       DrainChoice.Donor donor, Collection<Worker> movable, int maxWorkers, long nowMillis) {
     List<DrainChoice.Candidate> candidates = new ArrayList<>();
     for (Worker worker : movable) {
-      if (worker.tasks().stream().noneMatch(task -> task.step.longRunning())) {
+      if (isFreeOfLongRunning(worker)) {
         candidates.add(candidateOf(worker, nowMillis));
       }
     }
@@ -56,6 +98,11 @@
     return movable.stream().filter(worker -> chosen.contains(worker.entry.id())).toList();
   }
 
+  /** Returns whether a worker has no long-running task and holds no room for one. */
+  private static boolean isFreeOfLongRunning(Worker worker) {
+    return !worker.hasHolds() && worker.tasks().stream().noneMatch(task -> task.step.longRunning());
+  }
+
   private DrainChoice.Candidate candidateOf(Worker worker, long nowMillis) {
     double emptyInMillis = 0;
     Resources lastSteps = Resources.NONE;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.StepSpec;
@@ -41,6 +42,12 @@
   /** The worker of the current attempt; null while there is none. */
   Worker worker;
 
+  /**
+   * The worker that holds room for the next attempt of a long-running task; null if there is none.
+   * See {@link LongRunningRelocations}.
+   */
+  Worker destination;
+
   /** The ticket of the advice service for the current attempt; empty if none is needed. */
   String ticket = "";
 
@@ -160,8 +167,18 @@
         : ImmutableList.of(this);
   }
 
+  /** Replaces the worker that holds room for the next attempt. */
+  void changeDestination(Optional<Worker> newDestination) {
+    if (destination != null) {
+      destination.releaseHold(this);
+    }
+    destination = newDestination.orElse(null);
+    newDestination.ifPresent(worker -> worker.hold(this));
+  }
+
   /** Assigns the task to a worker for its next attempt. */
   void assign(Worker targetWorker, int nextAttempt, String adviceTicket) {
+    changeDestination(Optional.empty());
     phase = TaskPhase.ASSIGNED;
     worker = targetWorker;
     attempt = nextAttempt;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.FleetClock;
@@ -46,6 +47,12 @@
   /** How long a worker gets no new tasks after it had no free capacity for a task, in ms. */
   private static final long AVOID_AFTER_NO_ROOM_MILLIS = 200;
 
+  /**
+   * How long a long-running task may run on a draining worker without another place, in ms. The
+   * worker continues for longer than that.
+   */
+  private static final long MAX_WAIT_ON_DRAINING_MILLIS = 1_000;
+
   /** Decides whether the start of a task may be sent or repeated at the time given, in ms. */
   @FunctionalInterface
   interface StartPolicy {
@@ -134,12 +141,24 @@
     send(task);
   }
 
-  /** Stops long-running tasks on workers that are draining; others are left to end there. */
-  void stopLongRunningOnDraining(Iterable<Worker> workers) {
+  /**
+   * Stops long-running tasks on workers that are draining, each as soon as it has another place or
+   * the worker may end soon; others are left to end there.
+   */
+  void stopLongRunningOnDraining(
+      Iterable<Worker> workers, Predicate<Task> hasPlace, long nowMillis) {
     for (Worker worker : workers) {
-      if (worker.entry.draining() && !worker.isEmpty()) {
+      if (!worker.entry.draining()) {
+        worker.drainSeenMillis = 0;
+      } else if (!worker.isEmpty()) {
+        if (worker.drainSeenMillis == 0) {
+          worker.drainSeenMillis = nowMillis;
+        }
+        long drainedMillis = nowMillis - worker.drainSeenMillis;
         for (Task task : worker.tasks()) {
-          if (task.step.longRunning() && task.phase == TaskPhase.RUNNING) {
+          if (task.step.longRunning()
+              && task.phase == TaskPhase.RUNNING
+              && (drainedMillis >= MAX_WAIT_ON_DRAINING_MILLIS || hasPlace.test(task))) {
             stop(task, "worker_draining");
           }
         }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/VmMover.java
@@ -33,6 +33,9 @@
   /** Added to the duration of a move, in ms, before its VM counts as overdue. */
   private static final long ARRIVAL_MARGIN_MILLIS = 150;
 
+  /** As {@link #ARRIVAL_MARGIN_MILLIS}, before the VM is no longer counted on, in ms. */
+  private static final long LATE_ARRIVAL_MARGIN_MILLIS = 1_000;
+
   private static final String CORDON_REASON = "move";
 
   /** A move to {@code pool}, requested at {@code commandMillis}, monotonic ms. */
@@ -107,6 +110,15 @@
     return moves.values().stream().filter(move -> move.pool().equals(pool)).count();
   }
 
+  /** As {@link #countMovesTo}, without VMs that should have arrived some time ago. */
+  long countTimelyMovesTo(String pool, long nowMillis) {
+    long arrivalMillis = settings.moveMillis() + LATE_ARRIVAL_MARGIN_MILLIS;
+    return moves.values().stream()
+        .filter(move -> move.pool().equals(pool))
+        .filter(move -> nowMillis - move.commandMillis() <= arrivalMillis)
+        .count();
+  }
+
   /**
    * Cordons the workers on VMs with a move in progress that have not arrived in the target pool. A
    * worker may have restarted since the move began, and its new incarnation would get tasks, which
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -2,11 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.TaskId;
@@ -98,9 +101,15 @@
   /** When it was cordoned, monotonic ms. */
   long cordonedMillis;
 
+  /** Since when its entry has announced a drain while it had tasks, monotonic ms; 0 if not. */
+  long drainSeenMillis;
+
   /** Whether it is drained for another pool; see {@link SurplusWorkers}. */
   boolean isSurplus;
 
+  /** Whether it is drained for the long-running tasks of another pool, so gets no short ones. */
+  boolean isSurplusForLongRunning;
+
   /** Sequence number up to which the reported ends of attempts are committed. */
   long lastCommittedEnd;
 
@@ -119,6 +128,9 @@
   /** The part of the worker's capacity that is reserved for its tasks. */
   private Resources reserved = Resources.NONE;
 
+  /** Long-running tasks that are to run here next, for which room is kept free. */
+  private final Set<Task> holds = new LinkedHashSet<>();
+
   private WorkerLease lease;
 
   private ReplacementSuspicion replacementSuspicion = ReplacementSuspicion.NONE;
@@ -293,32 +305,63 @@
     return tasks.isEmpty();
   }
 
+  /** Keeps room free for a task that is to run here next. */
+  void hold(Task task) {
+    holds.add(task);
+  }
+
+  void releaseHold(Task task) {
+    holds.remove(task);
+  }
+
+  boolean hasHolds() {
+    return !holds.isEmpty();
+  }
+
   /**
-   * Returns whether its VM may be taken away without loss: no task is assigned to it, and all ends
-   * it reported are committed. An end that is not committed is known only to this process and to
-   * the worker. Without the worker it could be lost, and its task would run again.
+   * Returns whether its VM may be taken away without loss: no task is assigned to it or is to run
+   * here next, and all ends it reported are committed. An end that is not committed is known only
+   * to this process and to the worker. Without the worker it could be lost, and its task would run
+   * again.
    */
   boolean isSafeToRemove() {
-    return tasks.isEmpty() && lastCommittedEnd >= lastProcessedEnd;
+    return tasks.isEmpty() && holds.isEmpty() && lastCommittedEnd >= lastProcessedEnd;
   }
 
+  /** Returns what neither its tasks use nor is held; less than nothing if both exceed it. */
   Resources freeResources() {
-    return entry.capacity().minus(reserved);
-  }
-
-  /** Returns how many of its tasks have the same job, occurrence and step as {@code taskId}. */
-  int countOfSameStep(TaskId taskId) {
-    int count = 0;
-    for (TaskId id : tasks.keySet()) {
-      boolean isSameStep =
-          id.job().equals(taskId.job())
-              && id.occurrence() == taskId.occurrence()
-              && id.step() == taskId.step();
-      if (isSameStep) {
-        count++;
+    return freeResources(hold -> true);
+  }
+
+  /** Returns what is free for a task, for which room may be held here. */
+  Resources freeResourcesFor(Task task) {
+    return freeResources(hold -> hold != task);
+  }
+
+  private Resources freeResources(Predicate<Task> isCounted) {
+    Resources free = entry.capacity().minus(reserved);
+    for (Task hold : holds) {
+      if (isCounted.test(hold)) {
+        free = free.minus(hold.step.reservedResources());
       }
     }
-    return count;
+    return free;
+  }
+
+  /**
+   * Returns how many other tasks of the same job, occurrence and step it has, or holds room for.
+   */
+  int countOfSameStep(Task task) {
+    long present = tasks.values().stream().filter(other -> isOfSameStep(other, task)).count();
+    long held = holds.stream().filter(other -> isOfSameStep(other, task)).count();
+    return (int) (present + held);
+  }
+
+  private static boolean isOfSameStep(Task other, Task task) {
+    return other != task
+        && other.job == task.job
+        && other.id.occurrence() == task.id.occurrence()
+        && other.id.step() == task.id.step();
   }
 
   boolean hasServingTask() {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
@@ -57,9 +57,9 @@
 
   static boolean fits(Task task, Worker worker) {
     int maxPerWorker = task.step.maxPerWorker();
-    return worker.freeResources().covers(task.step.reservedResources())
+    return worker.freeResourcesFor(task).covers(task.step.reservedResources())
         && worker.hasRequiredLabel(task.step)
-        && (maxPerWorker == 0 || worker.countOfSameStep(task.id) < maxPerWorker);
+        && (maxPerWorker == 0 || worker.countOfSameStep(task) < maxPerWorker);
   }
 
   private static double cost(Task task, Worker worker) {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
@@ -90,6 +90,12 @@
     startWorkerIfPoweredOn(id);
   }
 
+  /** Returns whether calls are not answered as usual. */
+  boolean hasFault() {
+    long now = fleet.clock.nowMillis();
+    return responsesLost || now < silentUntilMillis || now < listsRejectedUntilMillis;
+  }
+
   /** Returns how many VMs are in maintenance. */
   long vmsInMaintenance() {
     return vms.values().stream().filter(vm -> vm.state == VmState.IN_MAINTENANCE).count();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
@@ -286,4 +286,36 @@
   int runningAttemptCount() {
     return runningAttempts.size();
   }
+
+  boolean runsTask(TaskId task) {
+    return runningAttempts.stream().anyMatch(running -> running.task.equals(task));
+  }
+
+  long countOfJob(String job) {
+    return runningAttempts.stream().filter(running -> running.task.job().equals(job)).count();
+  }
+
+  /** Returns how many tasks of the same job, occurrence and step it runs. */
+  int countOfSameStep(TaskId task) {
+    return (int)
+        runningAttempts.stream()
+            .map(running -> running.task)
+            .filter(
+                other ->
+                    other.job().equals(task.job())
+                        && other.occurrence() == task.occurrence()
+                        && other.step() == task.step())
+            .count();
+  }
+
+  /** Returns how often {@code need} fits into what is free, at most {@code limit} times. */
+  int countRoomFor(Resources need, int limit) {
+    int count = 0;
+    Resources free = isFull ? Resources.NONE.minus(need) : freeCapacity();
+    while (count < limit && free.covers(need)) {
+      free = free.minus(need);
+      count++;
+    }
+    return count;
+  }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/GuaranteeChecker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/GuaranteeChecker.java
@@ -231,6 +231,11 @@
     }
   }
 
+  /** Returns whether a task has ended successfully or its job was cancelled. */
+  boolean isSettled(TaskId task) {
+    return doneTasks.contains(task) || cancelledMillisByJob.containsKey(task.job());
+  }
+
   /** Returns when a worker first started a task of a job; empty if none has. */
   public Optional<Long> firstStartMillis(String job) {
     return Optional.ofNullable(firstStartMillisByJob.get(job));
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -57,6 +57,7 @@
   public final FakeRowStore rowStore;
   public final GuaranteeChecker guaranteeChecker;
   private final SimGangs gangs;
+  private final LongRunningTaskChecker longRunningTasks;
   public final SimNetwork network;
   public final Map<String, SimNode> nodes = new LinkedHashMap<>();
   final Map<String, FakeWorker> workers = new LinkedHashMap<>();
@@ -83,6 +84,9 @@
   /** When the last fault was noticed. */
   private long lastFaultMillis;
 
+  /** When VMs could last not be commanded as usual, or workers failed all tasks. */
+  private long lastFaultOfPlacesMillis;
+
   /** Whether the advice service lets a job run on a worker; both are given by their ids. */
   public BiPredicate<String, String> advicePolicy = (job, worker) -> true;
 
@@ -127,6 +131,7 @@
     network = new SimNetwork(random);
     guaranteeChecker = new GuaranteeChecker(clock);
     gangs = new SimGangs(clock, guaranteeChecker);
+    longRunningTasks = new LongRunningTaskChecker(guaranteeChecker, this::openWorkersIn);
     rowStore = new FakeRowStore(clock, random, guaranteeChecker);
     guaranteeChecker.setTeamLimit(TEAM, TEAM_LIMIT);
     guaranteeChecker.setMaxFailuresPerTask(SimLayout.MAX_FAILURES);
@@ -157,12 +162,12 @@
     for (int i = 0; i < nodeCount; i++) {
       fleet.startNode("n" + i);
     }
-    fleet.checkCancelledJobs();
+    fleet.checkRepeatedly();
     return fleet;
   }
 
-  /** Checks repeatedly that no task of a cancelled job runs on. */
-  private void checkCancelledJobs() {
+  /** Checks repeatedly that no task of a cancelled job runs on, and that long-running ones do. */
+  private void checkRepeatedly() {
     boolean hasFault =
         !unlistedWorkers.isEmpty()
             || rowStore.hasFault()
@@ -172,7 +177,35 @@
       recordFault();
     }
     guaranteeChecker.checkCancelledJobs(lastFaultMillis);
-    clock.runAfter(FAULT_CHECK_INTERVAL_MILLIS, this::checkCancelledJobs);
+    if (vmPlatform.map(FakeVmPlatform::hasFault).orElse(false)
+        || !workersThatFailAllTasks.isEmpty()) {
+      lastFaultOfPlacesMillis = clock.nowMillis();
+    }
+    longRunningTasks.check(
+        submittedJobs.values(),
+        this::isOwedToRun,
+        Math.max(lastFaultMillis, lastFaultOfPlacesMillis),
+        clock.nowMillis());
+    clock.runAfter(FAULT_CHECK_INTERVAL_MILLIS, this::checkRepeatedly);
+  }
+
+  private boolean isOwedToRun(TaskId task) {
+    // A team's limit and the advice service may keep a task from running for long.
+    return !guaranteeChecker.isSettled(task)
+        && !tasksThatAlwaysFail.contains(task)
+        && submittedJobs.get(task.job()).team().isEmpty()
+        && layout.adviceTimes().isEmpty();
+  }
+
+  private List<FakeWorker> openWorkersIn(String pool) {
+    return workersIn(pool)
+        .filter(worker -> !evacuatedZones.contains(zoneOf(vmByWorkerId.get(worker.id))))
+        .toList();
+  }
+
+  /** Returns the longest time for which a long-running task was away, in ms. */
+  public long longestAbsenceMillis() {
+    return longRunningTasks.longestMillis();
   }
 
   /** Records a fault that lasts no longer, such as the end of a process. */
@@ -398,6 +431,11 @@
         .toList();
   }
 
+  /** Returns how many attempts of the tasks of a job run on all workers. */
+  public long runningAttemptCountOf(String job) {
+    return workers.values().stream().mapToLong(worker -> worker.countOfJob(job)).sum();
+  }
+
   /** Returns how many attempts run on the workers on VMs of a zone. */
   public int runningAttemptCount(String zone) {
     return workers.values().stream()
