Log when and why long-running tasks are away

Change: long_running.away and long_running.back when such a task loses its worker or runs again, with the time away; long_running.state, once a second, for each pool with tasks that are away or without a place, by reason. The reason is a decision of its own (AwayDiagnosis), which takes records. No existing line and no decision of the scheduler changes. The settings of PoolStateLogTest move to TestSettings; its checks stay as they are.

Measured: mvn -o -B test -pl scheduler,entry -am with -Dtest='LongRunning*Test,AwayDiagnosisTest,PoolStateLogTest,EvacuationTest, LeaseOfEarlierIncarnationTest,SchedulerLoadGaugesTest,EventMetricsTest': 422 tests of scheduler and 9 of entry, all passed. LostWorkerWaitTest (11) passed before the last change of LongRunningStateLog, which caches reasons by step, and was not run again.

Conclusion: an absence and its cause can be read from the log.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -39,6 +39,7 @@
 
   private final FleetClock clock;
   private final EventLog log;
+  private final LongRunningTaskLog longRunningLog;
   private final RowFormats rowFormats;
   private final WorkerRegistry workers;
   private final PublishedConfig config;
@@ -71,6 +72,7 @@
       Runnable onLeaseCheckFailed) {
     this.clock = clock;
     this.log = log;
+    this.longRunningLog = new LongRunningTaskLog(log);
     this.rowFormats = rowFormats;
     this.workers = workers;
     this.config = config;
@@ -186,6 +188,7 @@
       task.movedToRestartedWorker = worker.entry.incarnation() != attempt.workerIncarnation();
       task.startDoubt = workers.doubtAboutPredecessor();
     }
+    job.forEachTask(longRunningLog::recordRestored);
     if (job.allTasksDone()) {
       finish(job, JobState.COMPLETED);
     }
@@ -315,6 +318,7 @@
           "reason",
           reason);
     }
+    longRunningLog.recordRelease(task, nextPhase, reason, clock.monotonicMillis());
     task.startAfterChange = 0;
     task.release(nextPhase, clock.monotonicMillis());
     placementRequested = true;
@@ -383,6 +387,7 @@
         task.worker.entry.id(),
         "sinceAccepted",
         clock.wallMillis() - task.job.spec.acceptedMillis());
+    longRunningLog.recordStart(task, clock.monotonicMillis());
   }
 
   /** Records that a worker has accepted a start of a job, in its row only after some time. */
--- /dev/null
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningTaskLog.java
@@ -0,0 +1,67 @@
+package org.sassafraslink.scheduler;
+
+import org.sassafraslink.api.log.EventLog;
+
+/**
+ * Writes a line when a long-running task loses its worker and when it runs again.
+ *
+ * <p>The lines have event names of their own, since many of the lines that all tasks share are
+ * suppressed in a busy second.
+ */
+final class LongRunningTaskLog {
+  private final EventLog log;
+
+  LongRunningTaskLog(EventLog log) {
+    this.log = log;
+  }
+
+  /**
+   * Records that a task of a job, whose previous scheduler has stored its attempts, has no worker.
+   * Since when is unknown, but at least since this process first read the job.
+   */
+  void recordRestored(Task task) {
+    if (task.step.longRunning() && task.phase == TaskPhase.WAITING && task.attempt > 0) {
+      task.awaySinceMillis = task.job.firstSeenMillis;
+    }
+  }
+
+  /** Records that the current attempt of a task ends, unless the task is to end. */
+  void recordRelease(Task task, TaskPhase nextPhase, String reason, long nowMillis) {
+    if (!task.step.longRunning()
+        || nextPhase != TaskPhase.WAITING
+        || task.job.state.isFinal()
+        || task.job.cancelRequested) {
+      return;
+    }
+    boolean mayHaveRun = task.confirmedMillis > 0 || task.restored;
+    if (mayHaveRun) {
+      task.awaySinceMillis = nowMillis;
+    }
+    write("long_running.away", task, reason, nowMillis);
+  }
+
+  /** Records that a worker has confirmed that it runs the current attempt of a task. */
+  void recordStart(Task task, long nowMillis) {
+    if (task.awaySinceMillis > 0) {
+      write("long_running.back", task, "", nowMillis);
+      task.awaySinceMillis = 0;
+    }
+  }
+
+  private void write(String event, Task task, String reason, long nowMillis) {
+    log.log(
+        event,
+        "job",
+        task.id.job(),
+        "task",
+        task.id,
+        "attempt",
+        task.attempt,
+        "worker",
+        task.worker == null ? "" : task.worker.entry.id(),
+        "reason",
+        reason,
+        "awayMillis",
+        task.awaySinceMillis > 0 ? nowMillis - task.awaySinceMillis : 0);
+  }
+}
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -14,6 +14,7 @@
 import org.sassafraslink.api.fleet.WorkerReport;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.placement.EvacuatedZones;
+import org.sassafraslink.scheduler.relocation.Absences;
 
 /**
  * Schedules all jobs while this process holds the scheduling lease.
@@ -42,6 +43,7 @@
   private final VmMover vmMover;
   private final PoolAutoscaler autoscaler;
   private final PoolStateLog poolStateLog;
+  private final LongRunningStateLog longRunningStateLog;
   private final SchedulerLoad load;
   private final PendingJobCounts pendingCounts;
   private final FinishedJobCleaner jobCleaner;
@@ -192,6 +194,14 @@
     this.poolStateLog =
         new PoolStateLog(
             log, config, workers::listedInPool, autoscaler::neededInTime, vmMover::countMovesTo);
+    this.longRunningStateLog =
+        new LongRunningStateLog(
+            log,
+            config,
+            workers::listedInPool,
+            quarantine,
+            adviceTickets::ticketsFor,
+            relocations::tasksWithoutPlace);
     this.pendingCounts = new PendingJobCounts(store, lease);
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
     this.placement =
@@ -257,6 +267,14 @@
     return load;
   }
 
+  /**
+   * Returns the long-running tasks that should run and do not, as of the last second; none if this
+   * process does not schedule. May be called on any thread.
+   */
+  public Absences longRunningAbsences() {
+    return isScheduling() ? longRunningStateLog.lastSecond() : Absences.NONE;
+  }
+
   /** Returns the last known holder of the lease, by node name; empty if there is none. */
   public String holderNode() {
     return lease.holderNode();
@@ -312,6 +330,7 @@
     waveStatusWriter.writeIfDue(now);
     jobCleaner.cleanIfDue(now);
     poolStateLog.writeIfDue(jobs.all(), placement.backlog(), now, clock.wallMillis());
+    longRunningStateLog.writeIfDue(jobs.all(), now, clock.wallMillis());
   }
 
   private void restoreJobsIfLoaded() {
@@ -371,6 +390,7 @@
     jobFeed.reset();
     announcedJobs.reset();
     relocations.reset();
+    longRunningStateLog.reset();
     adviceTickets.reset();
     quarantine.reset();
     pendingCounts.reset();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -112,6 +112,12 @@
   /** When the last attempt ended, monotonic ms. */
   long endedMillis;
 
+  /**
+   * Since when a long-running task that has run before does not run, monotonic ms; 0 if it runs or
+   * has never run. For the log only.
+   */
+  long awaySinceMillis;
+
   /** The speed of the task as last reported, in percent of full speed. */
   int speedPercent;
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/PoolStateLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/PoolStateLogTest.java
@@ -3,16 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.sassafraslink.api.fleet.FleetSettings;
-import org.sassafraslink.api.fleet.FleetSettings.PoolConfig;
-import org.sassafraslink.api.fleet.FleetSettings.RequestLimits;
-import org.sassafraslink.api.fleet.FleetSettings.TeamConfig;
 import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.log.EventLog;
@@ -39,19 +33,7 @@
 
   @BeforeEach
   void publishSettings() {
-    config.applySettings(
-        new FleetSettings(
-            /* version= */ 1,
-            ImmutableMap.of("queue", TestJobs.QUEUE),
-            ImmutableMap.of(
-                "pool", new PoolConfig("pool", /* enforcesCapacity= */ true, /* standby= */ false)),
-            ImmutableMap.of(
-                "team", new TeamConfig("team", ImmutableList.of(), /* weight= */ 1, TEAM_LIMIT)),
-            new RequestLimits(
-                /* maxHeaderBytes= */ 8_192,
-                /* maxBodyBytes= */ 65_536,
-                /* headerTimeoutMillis= */ 3_000,
-                /* idleTimeoutMillis= */ 15_000)));
+    config.applySettings(TestSettings.ofTeamLimit(TEAM_LIMIT));
   }
 
   private void write(Job... jobs) {
