--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -135,6 +135,7 @@
         configWatcher::evacuatedZoneCount);
     ConfigGauges.register(metrics, configWatcher, clock);
     SchedulerLoadGauges.register(metrics, scheduler.load()::lastSecond);
+    LongRunningGauges.register(metrics, scheduler::longRunningAbsences);
     metrics.registerGauge(
         "sassafraslink_requests_in_flight",
         "Requests of callers that have no answer yet",
--- a/entry/src/main/java/org/sassafraslink/entry/process/EventMetrics.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EventMetrics.java
@@ -40,8 +40,8 @@
 
   /**
    * By event name, the field that holds the duration of a step of a job or of a cancelling, the
-   * time since the job was accepted or finished, or how long the tasks of a silent worker have
-   * waited, in ms.
+   * time since the job was accepted or finished, how long the tasks of a silent worker have waited,
+   * or how long a long-running task was away, in ms.
    */
   private static final ImmutableMap<String, String> DURATION_FIELDS =
       ImmutableMap.of(
@@ -51,6 +51,7 @@
           "task.started", "sinceAccepted",
           "task.ended", "ran",
           "worker.lease_expired", "silentMillis",
+          "long_running.back", "awayMillis",
           "job.finished", "sinceAccepted",
           "job.shown", "sinceFinished");
 
@@ -88,6 +89,17 @@
         .register(registry);
   }
 
+  /** Registers a gauge whose values by the value of one label are computed at each scrape. */
+  void registerGauge(
+      String name, String help, String labelName, Supplier<ImmutableMap<String, Double>> values) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .labelNames(labelName)
+        .callback(callback -> values.get().forEach((label, value) -> callback.call(value, label)))
+        .register(registry);
+  }
+
   /** Registers a counter whose values by the value of one label are read at each scrape. */
   void registerCounter(
       String name, String help, String labelName, Supplier<ImmutableMap<String, Long>> values) {
