Room for the tasks of a worker that is probably lost is held before its lease ends

Cause: a long-running task on a worker that is unlisted, replaced or silent is released only when its lease has expired.

Change: such a task counts as one that leaves its worker, so a place is held for it, or a VM sent to its pool.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningRelocations.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningRelocations.java
@@ -22,7 +22,7 @@
 import org.sassafraslink.scheduler.relocation.DestinationPlan.StepKey;
 
 /**
- * Holds room for long-running tasks that wait for a worker or whose worker is drained.
+ * Holds room for long-running tasks that wait for a worker or whose worker is drained or lost.
  *
  * <p>Planned work drains a worker only after each of its long-running tasks has a destination, and
  * stops a task only while its destination could start it. What is held there is not given to other
@@ -129,7 +129,7 @@
             .forEach(task -> add(waitingByPool, pool, task));
         job.forEachTask(
             task -> {
-              if (isLeaving(task)) {
+              if (isLeaving(task, nowMillis)) {
                 add(leavingByPool, pool, task);
               }
             });
@@ -178,12 +178,16 @@
     return isAdmitted;
   }
 
-  /** Returns whether the worker of a task is drained, or will be for planned work. */
-  private boolean isLeaving(Task task) {
+  /** Returns whether the worker of a task is or will be drained, or is probably lost. */
+  private boolean isLeaving(Task task, long nowMillis) {
     Worker worker = task.worker;
     return worker != null
         && task.step.longRunning()
-        && (!worker.cordonReason.isEmpty() || worker.entry.draining() || isDrainRequested(worker));
+        && (!worker.cordonReason.isEmpty()
+            || worker.entry.draining()
+            || isDrainRequested(worker)
+            || !worker.isInPool()
+            || worker.isSilentSince(nowMillis - Worker.REPORT_VALIDITY_MILLIS));
   }
 
   private boolean isDrainRequested(Worker worker) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -281,6 +281,11 @@
     return consecutiveCallFailures == 0 && nowMillis - lastResponseMillis < REPORT_VALIDITY_MILLIS;
   }
 
+  /** Returns whether its requests fail and it has last responded before a time. */
+  boolean isSilentSince(long millis) {
+    return consecutiveCallFailures > 0 && silentSinceMillis() < millis;
+  }
+
   void add(Task task) {
     tasks.put(task.id, task);
     reserved = reserved.plus(task.step.reservedResources());
