--- /dev/null
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
@@ -0,0 +1,238 @@
+package org.sassafraslink.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sassafraslink.scheduler.sim.FakeRowStore.Behavior;
+import org.sassafraslink.scheduler.sim.SimFleet;
+import org.sassafraslink.scheduler.sim.SimNetwork.CommandKind;
+import org.sassafraslink.scheduler.sim.SimNode.CommandOutcome;
+
+/**
+ * Guards against commands, attempts or changes of which nothing is known any more and which keep a
+ * long-running task from running after the fault that caused this.
+ */
+class LongRunningTaskHeldTest {
+  private static final long SEED = 20261208;
+  private static final List<String> NODES = List.of("n0", "n1", "n2");
+  private static final int WORKERS = 6;
+  private static final String JOB = "lasting";
+  private static final int TASKS = 2;
+
+  /** The tasks outlast the test. */
+  private static final int TASK_TIME_FACTOR = 1_000;
+
+  /** The rule for long-running tasks, without the time of its first 6 s, in ms. */
+  private static final int MAX_AWAY_MILLIS = 3_000;
+
+  private static final int AFTER_FAULT_MILLIS = 30_000;
+  private static final Set<CommandKind> ALL = EnumSet.allOf(CommandKind.class);
+
+  private SimFleet fleet;
+
+  /** A fault that ends when this returns. */
+  @FunctionalInterface
+  private interface Fault {
+    void run(LongRunningTaskHeldTest test);
+  }
+
+  private record Scenario(String name, Fault fault) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  private void startFleet(int phaseMillis) {
+    fleet = SimFleet.start(SEED + phaseMillis, NODES.size(), WORKERS);
+    fleet.multiplyTaskTimes(TASK_TIME_FACTOR);
+    fleet.runFor(3_000);
+  }
+
+  private void submit() {
+    fleet.submitToOpenQueue(
+        JOB,
+        SimFleet.QUEUE,
+        TestJobs.step(TASKS, 1_000, 500, TestJobs.StepKind.LONG_RUNNING, /* maxPerWorker= */ 1));
+  }
+
+  private void runTasksFor(int millis) {
+    submit();
+    fleet.runFor(millis);
+    assertEquals(TASKS, busyWorkers().size(), "tasks that run");
+  }
+
+  private List<String> workers() {
+    return fleet.workerIds(SimFleet.POOL);
+  }
+
+  private List<String> busyWorkers() {
+    return workers().stream().filter(fleet::isRunningAttempt).toList();
+  }
+
+  private void setOutcome(Set<CommandKind> kinds, CommandOutcome outcome) {
+    for (String node : NODES) {
+      for (int i = 0; i < WORKERS; i++) {
+        fleet.network.setOutcome(node, "w" + i, kinds, outcome);
+      }
+    }
+  }
+
+  private void disturb(Set<CommandKind> kinds, CommandOutcome outcome, int millis) {
+    setOutcome(kinds, outcome);
+    fleet.runFor(millis);
+    setOutcome(kinds, CommandOutcome.RESPONSE_RECEIVED);
+  }
+
+  private void disturbStore(Behavior behavior, int millis) {
+    NODES.forEach(node -> fleet.rowStore.setBehavior(node, behavior));
+    fleet.runFor(millis);
+    NODES.forEach(node -> fleet.rowStore.setBehavior(node, Behavior.NORMAL));
+  }
+
+  private void restartWorkers() {
+    workers().forEach(fleet::startWorker);
+  }
+
+  private void killScheduler() {
+    fleet.killNode(fleet.schedulingNodeName().orElseThrow());
+  }
+
+  static Stream<Scenario> faultsThatEnd() {
+    Stream<Scenario> ofCommands =
+        Stream.of(
+                CommandOutcome.NOT_DELIVERED,
+                CommandOutcome.RESPONSE_LOST,
+                CommandOutcome.EXECUTED_LATE)
+            .flatMap(LongRunningTaskHeldTest::faultsOfCommands);
+    Stream<Scenario> ofStore =
+        Stream.of(Behavior.values())
+            .filter(behavior -> behavior != Behavior.NORMAL)
+            .flatMap(
+                behavior ->
+                    IntStream.of(500, 3_000, 8_000)
+                        .mapToObj(
+                            millis ->
+                                new Scenario(
+                                    "workers restart, store " + behavior + " for " + millis,
+                                    test -> {
+                                      test.runTasksFor(20_000);
+                                      test.restartWorkers();
+                                      test.fleet.runFor(10);
+                                      test.disturbStore(behavior, millis);
+                                    })));
+    Stream<Scenario> ofProcesses =
+        Stream.of(
+            new Scenario(
+                "workers and scheduler restart",
+                test -> {
+                  test.runTasksFor(20_000);
+                  test.restartWorkers();
+                  test.killScheduler();
+                }),
+            new Scenario(
+                "scheduler lost while workers are cut off",
+                test -> {
+                  test.runTasksFor(20_000);
+                  test.killScheduler();
+                  test.disturb(ALL, CommandOutcome.NOT_DELIVERED, 9_000);
+                }),
+            new Scenario(
+                "entries vanish, workers restart",
+                test -> {
+                  test.runTasksFor(20_000);
+                  List<String> ids = test.workers();
+                  ids.forEach(test.fleet::unlistWorker);
+                  test.killScheduler();
+                  test.fleet.runFor(5_000);
+                  test.restartWorkers();
+                  ids.forEach(test.fleet::unlistWorker);
+                  test.fleet.runFor(5_000);
+                  ids.forEach(test.fleet::relistWorker);
+                }),
+            new Scenario(
+                "operator's rows unreadable, workers restart",
+                test -> {
+                  test.runTasksFor(20_000);
+                  test.fleet.nodes.values().forEach(node -> node.setOperatorReadsFail(true));
+                  test.fleet.runFor(5_000);
+                  test.restartWorkers();
+                  test.fleet.runFor(5_000);
+                  test.fleet.nodes.values().forEach(node -> node.setOperatorReadsFail(false));
+                }),
+            new Scenario(
+                "workers fail all short tasks, and are quarantined",
+                test -> {
+                  test.runTasksFor(5_000);
+                  test.fleet.multiplyTaskTimes(1);
+                  test.fleet.workersThatFailAllTasks.addAll(test.workers());
+                  for (int i = 0; i < 40; i++) {
+                    test.fleet.submit("short" + i, SimFleet.step(WORKERS, 1_000));
+                    test.fleet.runFor(200);
+                  }
+                  test.fleet.workersThatFailAllTasks.clear();
+                  test.fleet.multiplyTaskTimes(TASK_TIME_FACTOR);
+                  test.busyWorkers().forEach(test.fleet::startWorker);
+                }));
+    return Stream.of(ofCommands, ofStore, ofProcesses).flatMap(each -> each);
+  }
+
+  private static Stream<Scenario> faultsOfCommands(CommandOutcome outcome) {
+    return Stream.of(
+        new Scenario(
+            "first start " + outcome,
+            test -> {
+              test.submit();
+              test.disturb(EnumSet.of(CommandKind.START), outcome, 9_000);
+            }),
+        new Scenario(
+            "first start " + outcome + ", workers restart",
+            test -> {
+              test.submit();
+              test.disturb(EnumSet.of(CommandKind.START), outcome, 2_000);
+              test.restartWorkers();
+            }),
+        new Scenario(
+            "first start " + outcome + ", scheduler lost",
+            test -> {
+              test.submit();
+              test.disturb(EnumSet.of(CommandKind.START), outcome, 1_000);
+              test.killScheduler();
+            }),
+        new Scenario(
+            "evacuation, stops " + outcome,
+            test -> {
+              test.runTasksFor(20_000);
+              test.fleet.evacuate("zone");
+              test.disturb(EnumSet.of(CommandKind.STOP), outcome, 9_000);
+              test.fleet.evacuate();
+            }),
+        new Scenario(
+            "evacuation, all commands " + outcome,
+            test -> {
+              test.runTasksFor(20_000);
+              test.fleet.evacuate("zone");
+              test.disturb(ALL, outcome, 3_000);
+              test.fleet.evacuate();
+            }));
+  }
+
+  /** Guards against a task that is still held when its workers and the store are sound again. */
+  @ParameterizedTest
+  @MethodSource("faultsThatEnd")
+  void taskRunsSoonAfterFault(Scenario scenario) {
+    startFleet(/* phaseMillis= */ 0);
+    scenario.fault().run(this);
+    fleet.runFor(MAX_AWAY_MILLIS);
+    assertEquals(TASKS, fleet.runningAttemptCountOf(JOB), "tasks that run");
+    fleet.runFor(AFTER_FAULT_MILLIS);
+    assertEquals(List.of(), fleet.guaranteeChecker.violations());
+    assertEquals(TASKS, fleet.runningAttemptCountOf(JOB), "tasks that run later");
+  }
+}
