A scheduler that ends during a renewal is replaced at once

Cause: the watch reports the end of the process once. A renewal that was under way is applied and read after that, which clears the report, so the others wait until the lease has expired; and they count the leases of workers from that time on.

Now a renewal after a report has the process watched again: if it has ended, the connection is refused again and the report is repeated. One that is alive is watched too, which it was not after a false report.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -416,18 +416,26 @@
       holder = storedHolder;
       holderVersion = row.version();
       if (isOtherProcess || !watchingHolder) {
-        watchingHolder = true;
-        holderReportedGone = false;
-        watch.watch(storedHolder.address(), () -> recordHolderGone(storedHolder));
+        watchHolder();
       }
     } else if (row.key().key().equals(RENEWAL_KEY.key()) && row.version() != renewalVersion) {
       renewalVersion = row.version();
       renewalChangedMillis = nowMillis;
       released = row.value().equals(RELEASED_VALUE);
-      holderReportedGone = false;
+      if (holderReportedGone) {
+        // The holder is alive, or has ended while this renewal was under way.
+        watchHolder();
+      }
     }
   }
 
+  private void watchHolder() {
+    LeaseHolder watched = holder;
+    watchingHolder = true;
+    holderReportedGone = false;
+    watch.watch(watched.address(), () -> recordHolderGone(watched));
+  }
+
   private void recordHolderGone(LeaseHolder reported) {
     if (!holding && holder.process().equals(reported.process())) {
       log.log("lease.holder_gone", "node", reported.node(), "epoch", reported.epoch());
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
@@ -1,6 +1,7 @@
 package org.sassafraslink.scheduler;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.EnumSet;
 import java.util.List;
@@ -25,6 +26,9 @@
   private static final String JOB = "lasting";
   private static final int TASKS = 2;
 
+  /** After this age a worker holds no lease from commands to an earlier incarnation. */
+  private static final int STEADY_MILLIS = 45_000;
+
   /** The tasks outlast the test. */
   private static final int TASK_TIME_FACTOR = 1_000;
 
@@ -235,4 +239,28 @@
     assertEquals(List.of(), fleet.guaranteeChecker.violations());
     assertEquals(TASKS, fleet.runningAttemptCountOf(JOB), "tasks that run later");
   }
+
+  private void assertOwedTasksRun() {
+    fleet.runFor(AFTER_FAULT_MILLIS);
+    assertEquals(List.of(), fleet.guaranteeChecker.violations());
+    assertEquals(TASKS, fleet.runningAttemptCountOf(JOB), "tasks that run");
+  }
+
+  static IntStream phases() {
+    return IntStream.range(0, 60).map(phase -> 10 * phase + phase % 10);
+  }
+
+  /** Guards against a wait for the lease of a process whose last renewal outlives it. */
+  @ParameterizedTest
+  @MethodSource("phases")
+  void schedulerIsReplacedAtOnceWhateverItWasDoing(int phaseMillis) {
+    startFleet(phaseMillis);
+    runTasksFor(STEADY_MILLIS + phaseMillis);
+    fleet.crashWorker(busyWorkers().get(0));
+    fleet.runFor(3_000);
+    killScheduler();
+    fleet.runFor(500);
+    assertTrue(fleet.schedulingNodeName().isPresent(), "nobody schedules");
+    assertOwedTasksRun();
+  }
 }
