A repeated start grants a lost worker no longer lease

Cause: each repeated start granted 6 s from then on, also those to a worker already lost, until its first report request has failed after 1.6 s. Its tasks are released when the longest lease granted has expired.

Now a start that is repeated carries the end of the longest lease granted. That of a worker that answers is renewed each second by the report requests.

Red before: startWithoutAnswerIsRepeatedToLostWorker, 2 of 11 phases; now none. Red again, the same two, with grantLease instead of repeatLease.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -228,10 +228,7 @@
     if (isStart && !maySendStart(task)) {
       return;
     }
-    Optional<Long> leaseEnd =
-        isStart
-            ? worker.grantLease(settings.leaseMillis(), clock.monotonicMillis())
-            : Optional.empty();
+    Optional<Long> leaseEnd = isStart ? leaseEndOfStart(worker, isResend) : Optional.empty();
     if (isStart && leaseEnd.isEmpty()) {
       return;
     }
@@ -278,6 +275,11 @@
     }
   }
 
+  private Optional<Long> leaseEndOfStart(Worker worker, boolean isResend) {
+    long now = clock.monotonicMillis();
+    return isResend ? worker.repeatLease(now) : worker.grantLease(settings.leaseMillis(), now);
+  }
+
   /**
    * Records that a worker has responded to a command, or that a later incarnation has done so,
    * which decides nothing.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -262,6 +262,15 @@
     return endMillis;
   }
 
+  /**
+   * Returns the lease end to send with a start that is repeated: that of the longest lease granted.
+   * A worker that has been lost would otherwise count as running its tasks for longer.
+   */
+  Optional<Long> repeatLease(long nowMillis) {
+    lastLeaseSentMillis = nowMillis;
+    return lease.longestEnd();
+  }
+
   /** Returns whether a response to a request sent at {@code sentMillis} is this incarnation's. */
   boolean isOwnClock(OptionalLong responseClockMillis, long sentMillis) {
     return responseClockMillis.isEmpty()
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sassafraslink.scheduler.sim.FakeRowStore.Behavior;
 import org.sassafraslink.scheduler.sim.SimFleet;
 import org.sassafraslink.scheduler.sim.SimNetwork.CommandKind;
@@ -263,4 +264,18 @@
     assertTrue(fleet.schedulingNodeName().isPresent(), "nobody schedules");
     assertOwedTasksRun();
   }
+
+  /** Guards against repeated starts that prolong the lease of a lost worker. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 100, 200, 300, 400, 500, 600, 700, 800, 900, 1_000})
+  void startWithoutAnswerIsRepeatedToLostWorker(int phaseMillis) {
+    startFleet(phaseMillis);
+    fleet.runFor(STEADY_MILLIS);
+    submit();
+    setOutcome(EnumSet.of(CommandKind.START), CommandOutcome.NOT_DELIVERED);
+    fleet.runFor(8_000 + phaseMillis);
+    fleet.crashWorker(fleet.startCommands.get(fleet.startCommands.size() - 1).worker());
+    setOutcome(ALL, CommandOutcome.RESPONSE_RECEIVED);
+    assertOwedTasksRun();
+  }
 }
