The stand-in of the store encodes a large configuration once

The 504 is STORE_OUTCOME_UNKNOWN, which the product rightly sends: the log of a run that fails shows three transactions and two reads without an answer in 0.9 to 1.9 s, and a lease lost as store_silent.

Cause: the stand-in encoded the whole configuration (16 MB) for each response, also for those without it, under its only lock.

The test, its bounds and its sizes are unchanged.

--- a/entry/src/test/java/org/sassafraslink/entry/link/LinkedStoreStandIn.java
+++ b/entry/src/test/java/org/sassafraslink/entry/link/LinkedStoreStandIn.java
@@ -55,7 +55,10 @@
   private final Deque<Fault> faults = new ArrayDeque<>();
   private final Map<Long, Long> acknowledgedNanosByVersion = new ConcurrentHashMap<>();
   private final Map<Fault, Long> appliedNanosByFault = new ConcurrentHashMap<>();
-  private String config = "";
+
+  /** The value of the row with the configuration. */
+  private String configValue = "";
+
   private long version;
   private long discardedVersion;
 
@@ -110,7 +113,10 @@
    * @param minBytes the size of a response with the configuration, at least
    */
   synchronized void publish(long newVersion, int minBytes) {
-    config = configOfSize(newVersion, minBytes);
+    // Encoded once, so that the time of each other response does not depend on the size.
+    configValue =
+        Base64.getEncoder()
+            .encodeToString(configOfSize(newVersion, minBytes).getBytes(StandardCharsets.UTF_8));
     version = newVersion;
     acknowledgedNanosByVersion.put(newVersion, System.nanoTime());
     notifyAll();
@@ -203,13 +209,12 @@
     byte[] body;
     Fault fault;
     synchronized (this) {
-      String value = Base64.getEncoder().encodeToString(config.getBytes(StandardCharsets.UTF_8));
       String rows =
           hasConfig
               ? "[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\",\"schemaVersion\":"
                   + version
                   + ",\"value\":\""
-                  + value
+                  + configValue
                   + "\"}]"
               : "[]";
       body =
