Known failure: a task is given to idle workers which have been lost unnoticed

A worker without tasks gets no report requests. One that is lost counts as room until the platform deletes its entry, and a long-running task that is assigned to it waits for the lease of its start.

Not mended here: asking all idle workers costs a probe each, and the destination of a waiting task could be asked before it is used.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
@@ -303,4 +303,18 @@
     fleet.crashWorker(busyWorkers().get(0));
     assertOwedTasksRun();
   }
+
+  /** Guards against a task that is given to idle workers which have been lost unnoticed. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 500})
+  void idleWorkersAreLostAfterBusyOne(int phaseMillis) {
+    startFleet(phaseMillis);
+    runTasksFor(STEADY_MILLIS + phaseMillis);
+    List<String> idle =
+        workers().stream().filter(worker -> !fleet.isRunningAttempt(worker)).toList();
+    fleet.crashWorker(busyWorkers().get(0));
+    fleet.runFor(3_000);
+    idle.stream().limit(2).forEach(fleet::crashWorker);
+    assertOwedTasksRun();
+  }
 }
