Simulated workers announce their end, and moves arrive late or never

Cause: the simulation lacked what long-running tasks meet on the users' platform: workers that drain, VMs that arrive late after a move, or leave the fleet in it.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeVmPlatform.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import org.sassafraslink.api.fleet.CallFailure;
 import org.sassafraslink.api.fleet.VmClient;
+import org.sassafraslink.api.fleet.Wave;
 
 /**
  * A simulated platform that lists, moves and maintains VMs. A command ends the worker on the VM;
@@ -61,6 +62,8 @@
   private boolean responsesLost;
   private int attemptsEndedByCommands;
   private int movesDoneAlready;
+  private long moveDelayMillis;
+  private boolean nextMoveIsLost;
 
   /** Until when calls are neither executed nor answered, ms. */
   private long silentUntilMillis;
@@ -109,7 +112,7 @@
   /** Starts the worker on a VM again under its id, if there is one. */
   void restartWorkerOn(String id) {
     FakeVm vm = vms.get(id);
-    if (!vm.workerId.isEmpty()) {
+    if (vm != null && !vm.workerId.isEmpty()) {
       fleet.startWorker(vm.workerId, vm.pool, id);
     }
   }
@@ -126,11 +129,57 @@
   /** Crashes the worker on a VM, if there is one, without a restart. */
   void crashWorkerOn(String id) {
     FakeVm vm = vms.get(id);
-    if (!vm.workerId.isEmpty()) {
+    if (vm != null && !vm.workerId.isEmpty()) {
       fleet.crashWorker(vm.workerId);
     }
   }
 
+  /** Has the worker on a VM announce its end, end, and start again, unless its VM is taken down. */
+  void drainWorkerOn(String id, long graceMillis, long awayMillis) {
+    FakeVm vm = vms.get(id);
+    if (vm == null || vm.workerId.isEmpty() || fleet.workers.get(vm.workerId).crashed) {
+      return;
+    }
+    String worker = vm.workerId;
+    long incarnation = fleet.incarnation(worker);
+    fleet.announceDraining(worker);
+    fleet.clock.runAfter(
+        graceMillis,
+        () -> {
+          if (vm.workerId.equals(worker) && fleet.incarnation(worker) == incarnation) {
+            if (fleet.isRunningAttempt(worker)) {
+              fleet.recordFault();
+            }
+            fleet.endWorker(worker);
+            fleet.clock.runAfter(awayMillis, () -> startAgain(id, vm, worker, incarnation));
+          }
+        });
+  }
+
+  private void startAgain(String id, FakeVm vm, String worker, long endedIncarnation) {
+    if (vm.workerId.equals(worker) && fleet.incarnation(worker) == endedIncarnation) {
+      fleet.startWorker(worker, vm.pool, id);
+    }
+  }
+
+  /** Has the moves that are accepted from now on take {@code millis} longer than usual. */
+  void delayMoves(long millis) {
+    moveDelayMillis = millis;
+  }
+
+  /** Has the VM of the next move that is accepted leave the fleet instead of arriving. */
+  void loseVmOfNextMove() {
+    nextMoveIsLost = true;
+  }
+
+  /** Returns the VMs of a wave that still exist and have had no maintenance for it. */
+  List<String> vmsNotMaintained(Wave wave) {
+    return wave.vms().stream()
+        .filter(vms::containsKey)
+        .filter(vm -> !finishedMaintenance.contains(vm + " " + wave.number()))
+        .toList();
+  }
+
   /** Sets whether commands are executed and their responses are lost. */
   void setResponsesLost(boolean areLost) {
     responsesLost = areLost;
@@ -223,9 +272,14 @@
       movesDoneAlready++;
       return acceptRepeated(authority);
     }
-    Either<CallFailure, VmReply> reply = takeDown(vm, VmState.MOVING, pool, MOVE_MILLIS, authority);
+    Either<CallFailure, VmReply> reply =
+        takeDown(vm, VmState.MOVING, pool, MOVE_MILLIS + moveDelayMillis, authority);
     if (reply.equals(Either.right(VmReply.ACCEPTED))) {
       recentMoveMillis.addLast(now);
+      if (nextMoveIsLost) {
+        nextMoveIsLost = false;
+        vms.remove(vm);
+      }
     }
     return reply;
   }
@@ -238,6 +292,9 @@
         authority,
         callback,
         () -> {
+          if (!vms.containsKey(vm)) {
+            return Either.left(CallFailure.REJECTED);
+          }
           boolean isRepeated = finishedMaintenance.contains(vm + " " + wave);
           Either<CallFailure, VmReply> reply =
               isRepeated && vms.get(vm).state == VmState.UP
@@ -289,9 +346,11 @@
     fleet.clock.runAfter(
         millis,
         () -> {
-          vm.pool = poolAfterwards;
-          vm.state = VmState.UP;
-          startWorkerIfPoweredOn(id);
+          if (vms.containsKey(id)) {
+            vm.pool = poolAfterwards;
+            vm.state = VmState.UP;
+            startWorkerIfPoweredOn(id);
+          }
         });
     return Either.right(VmReply.ACCEPTED);
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/LongRunningTaskChecker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/LongRunningTaskChecker.java
@@ -1,6 +1,5 @@
 package org.sassafraslink.scheduler.sim;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -44,6 +43,7 @@
   }
 
   private final GuaranteeChecker guaranteeChecker;
+  private final Predicate<TaskId> isRunning;
   private final Function<String, List<FakeWorker>> openWorkersInPool;
   private final Map<TaskId, Absence> absences = new HashMap<>();
   private final Set<TaskId> tasksThatHaveRun = new HashSet<>();
@@ -52,11 +52,15 @@
   /**
    * Creates a checker.
    *
-   * @param openWorkersInPool the workers of a pool that are up and may run tasks
+   * @param isRunning whether a task runs on any worker
+   * @param openWorkersInPool the workers of a pool that are up and may get tasks
    */
   LongRunningTaskChecker(
-      GuaranteeChecker guaranteeChecker, Function<String, List<FakeWorker>> openWorkersInPool) {
+      GuaranteeChecker guaranteeChecker,
+      Predicate<TaskId> isRunning,
+      Function<String, List<FakeWorker>> openWorkersInPool) {
     this.guaranteeChecker = guaranteeChecker;
+    this.isRunning = isRunning;
     this.openWorkersInPool = openWorkersInPool;
   }
 
@@ -87,17 +91,16 @@
       Predicate<TaskId> isOwed,
       long lastFaultMillis,
       long now) {
-    List<FakeWorker> workers = openWorkersInPool.apply(job.pool());
-    boolean isRunning = workers.stream().anyMatch(worker -> worker.runsTask(task));
-    if (isRunning) {
+    boolean runs = isRunning.test(task);
+    if (runs) {
       tasksThatHaveRun.add(task);
     }
-    if (isRunning || !isOwed.test(task)) {
+    if (runs || !isOwed.test(task)) {
       absences.remove(task);
       return;
     }
     Absence absence = absences.computeIfAbsent(task, added -> new Absence(now));
-    if (countPlaces(task, step, workers) < ROOM_FACTOR) {
+    if (countPlaces(task, step, openWorkersInPool.apply(job.pool())) < ROOM_FACTOR) {
       absence.roomSinceMillis = now;
     }
     if (tasksThatHaveRun.contains(task)) {
@@ -116,16 +119,13 @@
     }
   }
 
+  /** Returns how often a task fits into what is free on the workers on which it may run. */
   private static int countPlaces(TaskId task, StepSpec step, List<FakeWorker> workers) {
-    List<Integer> places = new ArrayList<>();
-    for (FakeWorker worker : workers) {
-      int room = worker.countRoomFor(step.need(), ROOM_FACTOR);
-      int allowed =
-          step.maxPerWorker() == 0
-              ? room
-              : Math.min(room, step.maxPerWorker() - worker.countOfSameStep(task));
-      places.add(Math.max(0, allowed));
-    }
-    return places.stream().mapToInt(Integer::intValue).sum();
+    return workers.stream()
+        .filter(
+            worker ->
+                step.maxPerWorker() == 0 || worker.countOfSameStep(task) < step.maxPerWorker())
+        .mapToInt(worker -> worker.countRoomFor(step.need(), ROOM_FACTOR))
+        .sum();
   }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -32,6 +32,7 @@
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.TaskId;
 import org.sassafraslink.api.fleet.VmClient;
+import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.api.fleet.WorkerEntry;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.JobRows;
@@ -67,6 +68,9 @@
   /** The capacities of workers that differ from the layout's, by incarnation. */
   private final Map<Long, Resources> capacityByIncarnation = new HashMap<>();
 
+  /** The incarnations that have announced their end. */
+  private final Set<Long> drainingIncarnations = new HashSet<>();
+
   private final Map<String, JobSpec> submittedJobs = new LinkedHashMap<>();
   private final Set<String> jobsOfPreviousVersion = new HashSet<>();
   private long taskTimeFactor = 1;
@@ -131,7 +135,8 @@
     network = new SimNetwork(random);
     guaranteeChecker = new GuaranteeChecker(clock);
     gangs = new SimGangs(clock, guaranteeChecker);
-    longRunningTasks = new LongRunningTaskChecker(guaranteeChecker, this::openWorkersIn);
+    longRunningTasks =
+        new LongRunningTaskChecker(guaranteeChecker, this::isRunning, this::openWorkersIn);
     rowStore = new FakeRowStore(clock, random, guaranteeChecker);
     guaranteeChecker.setTeamLimit(TEAM, TEAM_LIMIT);
     guaranteeChecker.setMaxFailuresPerTask(SimLayout.MAX_FAILURES);
@@ -197,8 +202,17 @@
         && layout.adviceTimes().isEmpty();
   }
 
+  private boolean isRunning(TaskId task) {
+    return workers.values().stream().anyMatch(worker -> worker.runsTask(task));
+  }
+
+  /**
+   * Returns the workers of a pool that run, have not announced their end and are in no evacuated
+   * zone.
+   */
   private List<FakeWorker> openWorkersIn(String pool) {
     return workersIn(pool)
+        .filter(worker -> !drainingIncarnations.contains(worker.incarnation))
         .filter(worker -> !evacuatedZones.contains(zoneOf(vmByWorkerId.get(worker.id))))
         .toList();
   }
@@ -364,6 +378,12 @@
     return workers.get(id).startedAttempts;
   }
 
+  /** Has a worker announce that it will end and takes no more tasks. */
+  void announceDraining(String id) {
+    drainingIncarnations.add(workers.get(id).incarnation);
+    rewriteWorkerEntry(id, workerEntry(id));
+  }
+
   /** Sets whether a worker rejects all further tasks for lack of room. */
   public void setFull(String id, boolean isFull) {
     workers.get(id).isFull = isFull;
@@ -480,6 +500,29 @@
     vmPlatform.orElseThrow().crashWorkerOn(vm);
   }
 
+  /**
+   * Has the worker on a VM, if there is one, announce its end, end after {@code graceMillis}, and
+   * start again after {@code awayMillis} more.
+   */
+  public void drainWorkerOn(String vm, long graceMillis, long awayMillis) {
+    vmPlatform.orElseThrow().drainWorkerOn(vm, graceMillis, awayMillis);
+  }
+
+  /** Has the moves that are accepted from now on take {@code millis} longer than usual. */
+  public void delayMoves(long millis) {
+    vmPlatform.orElseThrow().delayMoves(millis);
+  }
+
+  /** Has the VM of the next move that is accepted leave the fleet instead of arriving. */
+  public void loseVmOfNextMove() {
+    vmPlatform.orElseThrow().loseVmOfNextMove();
+  }
+
+  /** Returns the VMs of a wave that still exist and have had no maintenance for it. */
+  public List<String> vmsNotMaintained(Wave wave) {
+    return vmPlatform.orElseThrow().vmsNotMaintained(wave);
+  }
+
   /** Sets whether the platform executes commands to VMs and its responses are lost. */
   public void setVmResponsesLost(boolean areLost) {
     vmPlatform.orElseThrow().setResponsesLost(areLost);
@@ -722,7 +765,7 @@
                 /* labels= */ ImmutableList.of("a", "r1"),
                 capacityByIncarnation.getOrDefault(
                     Long.parseLong(values.get(0)), layout.workerCapacity()),
-                /* draining= */ false));
+                drainingIncarnations.contains(Long.parseLong(values.get(0)))));
       }
 
       @Override
