Directed tests: lost destination, room kept from short tasks

Cause: no test was red without relocations.hasPlace in drainWorker, or without holds in freeResources. Change: a wave whose destination crashes before the stops are allowed; short tasks of the same pool that need a whole worker.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskWithoutPlaceTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskWithoutPlaceTest.java
@@ -62,13 +62,17 @@
 
   /** Submits, evenly over {@code millis} ms, jobs that need {@code cores} cores. */
   private void submitPeak(int millis, double cores) {
+    submitPeakTo(BUSY_POOL, millis, cores);
+  }
+
+  private void submitPeakTo(String pool, int millis, double cores) {
     double jobsPerStep = cores * STEP_MILLIS / (2.0 * TASKS_PER_JOB * TASK_MILLIS);
     double due = 0;
     for (int elapsed = 0; elapsed < millis; elapsed += STEP_MILLIS) {
       for (due += jobsPerStep; due >= 1; due--) {
         fleet.submitToOpenQueue(
             "short" + submitted++,
-            BUSY_POOL,
+            pool,
             SimFleet.stepOfMillis(TASK_MILLIS, TASKS_PER_JOB, /* cpuMillis= */ 2_000));
       }
       fleet.runFor(STEP_MILLIS);
@@ -144,4 +148,64 @@
     assertNeverAwayForLong();
     assertEquals(vms, fleet.maintenanceCountByVm().size(), "VMs with maintenance");
   }
+
+  private void requestWaveOf(String vm, int durationSeconds) {
+    Wave wave = new Wave(/* number= */ 1, ImmutableList.of(vm), durationSeconds, /* maxDown= */ 1);
+    fleet.nodes.values().forEach(node -> node.requestWave(wave));
+  }
+
+  /** Returns the VM in the small pool on whose worker tasks run, which all run on one. */
+  private String vmWithTasks() {
+    return fleet.workerIds(SMALL_POOL).stream()
+        .filter(fleet::isRunningAttempt)
+        .map(id -> id.substring(0, id.lastIndexOf('-')))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Guards against a stop for a wave after the loss of the worker that had room at its cordon. */
+  @ParameterizedTest
+  @ValueSource(ints = {4, 8})
+  void waveStopsTaskWhoseDestinationIsLost(int busyVms) {
+    start(/* smallVms= */ 2, busyVms, /* standbyVms= */ 0);
+    runLongRunning(SMALL_POOL, /* tasks= */ 4, /* maxPerWorker= */ 0);
+    String drained = vmWithTasks();
+    List<String> stopsWithoutPlace = new ArrayList<>();
+    fleet.eventObserver =
+        (event, fields) -> {
+          if (event.equals("worker.cordoned") && List.of(fields).contains(drained)) {
+            fleet.vmsWithWorkers(SMALL_POOL).stream()
+                .filter(vm -> !vm.equals(drained))
+                .forEach(vm -> fleet.clock.runAfter(1, () -> fleet.crashWorkerOn(vm)));
+          } else if (event.equals("task.stop") && fleet.workerCount(SMALL_POOL) < 2) {
+            stopsWithoutPlace.add(fleet.clock.nowMillis() + " " + List.of(fields));
+          }
+        };
+    // A new scheduler cordons the worker at once, but may not stop long-running tasks yet.
+    fleet.startNode("n0");
+    requestWaveOf(drained, /* durationSeconds= */ 5);
+    submitPeak(/* millis= */ 8_000, 2.0 * busyVms * CORES_PER_WORKER);
+    assertEquals(List.of(), stopsWithoutPlace);
+  }
+
+  /** Guards against short tasks that take the room to which a wave moves long-running tasks. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 4})
+  void shortTasksOfOwnPoolTakeDestination(int tasks) {
+    start(/* smallVms= */ 2, /* busyVms= */ 0, /* standbyVms= */ 0);
+    runLongRunning(SMALL_POOL, tasks, /* maxPerWorker= */ 0);
+    String drained = vmWithTasks();
+    // Each needs the whole other worker for longer than a long-running task may be away.
+    for (int i = 0; i < 8; i++) {
+      fleet.submitToOpenQueue(
+          "short" + submitted++,
+          SMALL_POOL,
+          SimFleet.stepOfMillis(MAX_AWAY_MILLIS + 1_000, 1, CORES_PER_WORKER * 1_000));
+    }
+    fleet.runFor(500);
+    requestWaveOf(drained, /* durationSeconds= */ 5);
+    fleet.runFor(20_000);
+    assertNeverAwayForLong();
+    assertEquals(1, fleet.maintenanceCountByVm().size(), "VMs with maintenance");
+  }
 }
