--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/CallerConnection.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/CallerConnection.java
@@ -12,16 +12,16 @@
 import java.util.Locale;
 
 /** A connection of a caller to an entry daemon, which is used for one request after the other. */
-final class CallerConnection implements Closeable {
+public final class CallerConnection implements Closeable {
   /** The status of a request without a complete response until its deadline. */
   static final int NO_RESPONSE = 0;
 
   /** The status of a request whose connection failed or was closed. */
   static final int CONNECTION_FAILED = -1;
 
-  static final String HOST = "q.example";
-  static final String API_KEY = "k2ex5wa5xwjbvk9m68k7";
-  static final int DEFAULT_DEADLINE_MILLIS = 3_000;
+  public static final String HOST = "q.example";
+  public static final String API_KEY = "k2ex5wa5xwjbvk9m68k7";
+  public static final int DEFAULT_DEADLINE_MILLIS = 3_000;
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final Socket socket;
@@ -46,7 +46,7 @@
   }
 
   /** Sends a request on a connection of its own, and returns the status of the response. */
-  static int sendOnce(
+  public static int sendOnce(
       InetSocketAddress address, String method, String path, String body, int timeoutMillis) {
     try (CallerConnection connection = open(address)) {
       return connection.send(method, path, body, timeoutMillis);
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/EntryDaemon.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/EntryDaemon.java
@@ -11,7 +11,7 @@
 import org.sassafraslink.platform.fleet.NodeSettingsFile;
 
 /** An entry daemon that runs as a process, and is started again on the same addresses. */
-final class EntryDaemon {
+public final class EntryDaemon {
   /** The options of deploy/system.toml. */
   private static final List<String> JVM_OPTIONS =
       List.of(
@@ -143,11 +143,11 @@
             .start();
   }
 
-  String node() {
+  public String node() {
     return node;
   }
 
-  InetSocketAddress callerAddress() {
+  public InetSocketAddress callerAddress() {
     return callerAddress;
   }
 
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/EntryFleet.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/EntryFleet.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 
 /** The entry daemons, and the platform's list of those that get new connections. */
-final class EntryFleet implements AutoCloseable {
-  static final String ZONE = "z";
+public final class EntryFleet implements AutoCloseable {
+  public static final String ZONE = "z";
   private static final long READINESS_INTERVAL_MILLIS = 1_000;
   private static final int READINESS_TIMEOUT_MILLIS = 500;
 
@@ -39,7 +39,7 @@
    * @param jar the program, or an empty text for the classes of this checkout
    * @param runningSlots how many tenths of the time each daemon gets a processor
    */
-  static EntryFleet start(
+  public static EntryFleet start(
       RunRecord record,
       EventFile events,
       Path folder,
@@ -74,12 +74,12 @@
     return "127." + (1 + pid / 250 % 250) + "." + pid % 250 + "." + number;
   }
 
-  List<EntryDaemon> daemons() {
+  public List<EntryDaemon> daemons() {
     return daemons;
   }
 
   /** Waits until all daemons get connections; returns whether they do. */
-  boolean awaitRotation(long millis) throws InterruptedException {
+  public boolean awaitRotation(long millis) throws InterruptedException {
     long endNanos = System.nanoTime() + millis * 1_000_000;
     while (!daemons.stream().allMatch(EntryDaemon::inRotation)) {
       if (System.nanoTime() > endNanos) {
@@ -91,7 +91,7 @@
   }
 
   /** Chooses a daemon for a new connection; all of them if less than half are in rotation. */
-  EntryDaemon choose(Random random) {
+  public EntryDaemon choose(Random random) {
     List<EntryDaemon> candidates = daemons.stream().filter(EntryDaemon::inRotation).toList();
     List<EntryDaemon> chosen = candidates.size() * 2 < daemons.size() ? daemons : candidates;
     return chosen.get(random.nextInt(chosen.size()));
@@ -126,13 +126,14 @@
   }
 
   /** Kills a daemon and starts it again. */
-  void restart(EntryDaemon daemon, long downMillis) throws IOException, InterruptedException {
+  public void restart(EntryDaemon daemon, long downMillis)
+      throws IOException, InterruptedException {
     events.write("kill " + daemon.node());
     end(daemon, downMillis);
   }
 
   /** Asks a daemon to stop, kills it after the grace period, and starts it again. */
-  void terminate(EntryDaemon daemon, long graceMillis, long downMillis)
+  public void terminate(EntryDaemon daemon, long graceMillis, long downMillis)
       throws IOException, InterruptedException {
     events.write("term " + daemon.node());
     record.disrupted(daemon.node(), events.millis(), events.millis());
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/EventFile.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/EventFile.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 
 /** Appends what the stand-ins see to a file, with the time since the start of the play. */
-final class EventFile implements AutoCloseable {
+public final class EventFile implements AutoCloseable {
   private final PrintWriter writer;
   private final long startNanos = System.nanoTime();
   private final long startUnixMillis = System.currentTimeMillis();
@@ -16,21 +16,21 @@
     this.writer = writer;
   }
 
-  static EventFile create(Path file) throws IOException {
+  public static EventFile create(Path file) throws IOException {
     return new EventFile(new PrintWriter(Files.newBufferedWriter(file)));
   }
 
   /** Returns the time since the start of the play, in ms. */
-  long millis() {
+  public long millis() {
     return (System.nanoTime() - startNanos) / 1_000_000;
   }
 
   /** Returns the start of the play, which relates the times here to those in the daemons' logs. */
-  long startUnixMillis() {
+  public long startUnixMillis() {
     return startUnixMillis;
   }
 
-  synchronized void write(String line) {
+  public synchronized void write(String line) {
     writer.println(String.format(Locale.ROOT, "%9.3f %s", millis() / 1e3, line));
   }
 
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/LoopbackServer.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/LoopbackServer.java
@@ -18,14 +18,15 @@
 import java.util.concurrent.TimeUnit;
 
 /** An HTTP server with JSON bodies on a free port of the loopback address. */
-final class LoopbackServer {
-  static final ObjectMapper MAPPER = new ObjectMapper();
+public final class LoopbackServer {
+  public static final ObjectMapper MAPPER = new ObjectMapper();
 
   /** Threads of all servers of the rig. */
-  static final ExecutorService THREADS = Executors.newCachedThreadPool(LoopbackServer::daemon);
+  public static final ExecutorService THREADS =
+      Executors.newCachedThreadPool(LoopbackServer::daemon);
 
   /** Timers of all servers of the rig; their tasks must be short. */
-  static final ScheduledExecutorService TIMERS =
+  public static final ScheduledExecutorService TIMERS =
       new ScheduledThreadPoolExecutor(2, LoopbackServer::daemon);
 
   /** After this time the connection of an exchange without a response is closed. */
@@ -38,7 +39,7 @@
   }
 
   /** Handles one exchange; the connection is closed if it fails. */
-  interface Handler {
+  public interface Handler {
     void handle(HttpExchange exchange) throws Exception;
   }
 
@@ -51,7 +52,7 @@
   }
 
   /** Starts a server and returns its port. */
-  static int start(Handler handler) throws IOException {
+  public static int start(Handler handler) throws IOException {
     HttpServer server =
         HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 500);
     server.setExecutor(THREADS);
@@ -68,7 +69,7 @@
     return server.getAddress().getPort();
   }
 
-  static void respond(HttpExchange exchange, int status, JsonNode body) throws IOException {
+  public static void respond(HttpExchange exchange, int status, JsonNode body) throws IOException {
     byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
     exchange.getResponseHeaders().set("Content-Type", "application/json");
     exchange.sendResponseHeaders(status, bytes.length);
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/RunRecord.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/RunRecord.java
@@ -10,7 +10,7 @@
  * Records what callers and workers saw, and finds the tasks of cancelled jobs that started or ran
  * on after the acknowledgement of the cancelling.
  */
-final class RunRecord {
+public final class RunRecord {
   /** A run of a task on a worker. */
   static final class Run {
     private final String task;
@@ -89,7 +89,7 @@
   private final List<Run> runs = new ArrayList<>();
   private final List<Disruption> disruptions = new ArrayList<>();
 
-  RunRecord(long cancelMillis, long stopMillis, long contactMillis) {
+  public RunRecord(long cancelMillis, long stopMillis, long contactMillis) {
     this.cancelMillis = cancelMillis;
     this.stopMillis = stopMillis;
     this.contactMillis = contactMillis;
@@ -123,7 +123,7 @@
     return acknowledgements.size();
   }
 
-  synchronized int startCount() {
+  public synchronized int startCount() {
     return runs.size();
   }
 
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/StoreStandIn.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/StoreStandIn.java
@@ -16,7 +16,7 @@
 import org.sassafraslink.entry.cancelling.StoredRows.RowId;
 
 /** Simulates the platform's store over HTTP, with the faults of a real one. */
-final class StoreStandIn {
+public final class StoreStandIn {
   /** What happens to the long polls for changes of jobs. */
   enum Feed {
     NORMAL,
@@ -62,11 +62,11 @@
     this.random = new Random(seed);
   }
 
-  static StoreStandIn create(EventFile events, long seed) {
+  public static StoreStandIn create(EventFile events, long seed) {
     return new StoreStandIn(events, seed);
   }
 
-  int listen() throws IOException {
+  public int listen() throws IOException {
     return LoopbackServer.start(this::handle);
   }
 
@@ -103,17 +103,17 @@
     rows.discardHistory();
   }
 
-  void put(String table, String key, JsonNode value) {
+  public void put(String table, String key, JsonNode value) {
     byte[] bytes = value.toString().getBytes(StandardCharsets.UTF_8);
     rows.put(new RowId(table, "", key), Optional.of(Base64.getEncoder().encodeToString(bytes)));
   }
 
-  void remove(String table, String key) {
+  public void remove(String table, String key) {
     rows.put(new RowId(table, "", key), Optional.empty());
   }
 
   /** Returns the node that was the last to acquire the scheduling lease; empty before the first. */
-  String holder() {
+  public String holder() {
     return holder;
   }
 
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/WorkerStandIn.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/WorkerStandIn.java
@@ -10,12 +10,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Simulates one life of a worker, which guards its capacity. */
-final class WorkerStandIn {
-  static final int CPU = 16_000;
-  static final int MEMORY_MB = 32_768;
+public final class WorkerStandIn {
+  public static final int CPU = 16_000;
+  public static final int MEMORY_MB = 32_768;
 
   /** What a run on a worker takes, read from its payload. */
   record Load(long cpu, long millis) {
@@ -28,6 +29,13 @@
     }
   }
 
+  /**
+   * What a worker really does, whatever a scheduler knows of it.
+   *
+   * @param freeCpu in thousandths of a core
+   */
+  public record State(long freeCpu, Set<String> tasks) {}
+
   private static final class Active {
     private final RunRecord.Run run;
     private final Load load;
@@ -67,7 +75,8 @@
   private volatile boolean isGone;
   private volatile long delayedUntilMillis;
 
-  WorkerStandIn(String id, StoreStandIn store, RunRecord record, EventFile events, long seed) {
+  public WorkerStandIn(
+      String id, StoreStandIn store, RunRecord record, EventFile events, long seed) {
     this.id = id;
     this.store = store;
     this.record = record;
@@ -75,20 +84,20 @@
     this.random = new Random(seed);
   }
 
-  String id() {
+  public String id() {
     return id;
   }
 
-  long born() {
+  public long born() {
     return born;
   }
 
-  int listen() throws IOException {
+  public int listen() throws IOException {
     return LoopbackServer.start(this::handle);
   }
 
   /** Ends this life of the worker, and everything that runs on it. */
-  synchronized void end() {
+  public synchronized void end() {
     isGone = true;
     active.values().forEach(run -> record.ended(run.run, events.millis(), "worker ended"));
     active.clear();
@@ -100,12 +109,18 @@
     delayedUntilMillis = events.millis() + millis;
   }
 
+  /** Returns what runs on the worker now, also while it is being stopped. */
+  public synchronized State state() {
+    long used = active.values().stream().mapToLong(run -> run.load.cpu()).sum();
+    return new State(CPU - used, Set.copyOf(active.keySet()));
+  }
+
   synchronized boolean isIdle() {
     return active.isEmpty();
   }
 
   /** Ends the runs that are over, whose lease has expired, or that are stopped. */
-  synchronized void tick(long nowMillis) {
+  public synchronized void tick(long nowMillis) {
     for (Active run : List.copyOf(active.values())) {
       if (nowMillis > leaseEndMillis) {
         end(run, "lapsed", nowMillis);
