A task is stopped only for a place on a worker that has responded recently

What callers would see: a long-running task is stopped for a wave towards a worker that has died and is not known to have, so its start gets no answer for more than 8 s, until a lease ends.

Cause: whether a destination is open follows from failed requests only, and workers without tasks are not asked.

Change: a stop also needs a recent report of the destination, as it needs one of the worker that the task leaves; workers that hold room are asked like those with tasks.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningRelocations.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningRelocations.java
@@ -288,7 +288,8 @@
 
   /** Returns the relocations of the tasks that could not start on their destinations now. */
   private ImmutableList<Relocation> blocked(String pool, List<Task> waiting, long nowMillis) {
-    List<Task> blocked = waiting.stream().filter(task -> !hasPlace(task, nowMillis)).toList();
+    List<Task> blocked =
+        waiting.stream().filter(task -> !hasRoomAtDestination(task, nowMillis)).toList();
     return ImmutableList.copyOf(relocationsOf(blocked, openWorkers(pool, nowMillis), nowMillis));
   }
 
@@ -373,8 +374,12 @@
                 .anyMatch(destinationOf(worker, nowMillis)::suits));
   }
 
-  /** Returns whether a task could start on its destination now. */
+  /** Returns whether a task could start now on its destination, which has responded recently. */
   boolean hasPlace(Task task, long nowMillis) {
+    return hasRoomAtDestination(task, nowMillis) && task.destination.hasRecentReport(nowMillis);
+  }
+
+  private boolean hasRoomAtDestination(Task task, long nowMillis) {
     Worker destination = task.destination;
     return destination != null
         && isOpen(destination, nowMillis)
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -135,7 +135,8 @@
       }
       return;
     }
-    boolean hasTasks = !worker.isEmpty();
+    // Tasks are stopped for a place on a worker only while it is known to answer.
+    boolean hasTasks = !worker.isEmpty() || worker.hasHolds();
     boolean hasUnacknowledgedEnds = worker.lastCommittedEnd > worker.lastAcknowledgedEnd;
     boolean hasToRespond =
         worker.listed && (!worker.hasReported || worker.isReplacementSuspected());
