--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskWithoutPlaceTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskWithoutPlaceTest.java
@@ -7,10 +7,13 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sassafraslink.api.fleet.JobState;
 import org.sassafraslink.api.fleet.Wave;
 import org.sassafraslink.scheduler.sim.SimFleet;
 import org.sassafraslink.scheduler.sim.SimLayout;
@@ -208,4 +211,43 @@
     assertNeverAwayForLong();
     assertEquals(1, fleet.maintenanceCountByVm().size(), "VMs with maintenance");
   }
+
+  /** Guards against a task that waits beside a drained worker, which nothing can empty. */
+  @Test
+  void drainedWorkerIsNotOpenedForWaitingTask() {
+    start(/* smallVms= */ 2, /* busyVms= */ 0, /* standbyVms= */ 0);
+    runLongRunning(SMALL_POOL, /* tasks= */ 4, /* maxPerWorker= */ 0);
+    String drained = vmWithTasks();
+    fleet.startNode("n0");
+    requestWaveOf(drained, /* durationSeconds= */ 5);
+    fleet.runFor(1_500);
+    fleet.vmsWithWorkers(SMALL_POOL).stream()
+        .filter(vm -> !vm.equals(drained))
+        .forEach(fleet::crashWorkerOn);
+    fleet.runFor(5_000);
+    fleet.submitToOpenQueue(
+        "added",
+        SMALL_POOL,
+        TestJobs.step(
+            1,
+            /* cpuMillis= */ 1_250,
+            /* estimatedMillis= */ 600_000,
+            TestJobs.StepKind.LONG_RUNNING,
+            /* maxPerWorker= */ 0));
+    fleet.runFor(MAX_AWAY_MILLIS);
+    assertEquals(1, fleet.runningAttemptCountOf("added"));
+  }
+
+  /** Guards against a drain of the only worker, which nothing can empty, so that jobs wait. */
+  @Test
+  void onlyWorkerIsDrained() {
+    start(/* smallVms= */ 1, /* busyVms= */ 0, /* standbyVms= */ 0);
+    runLongRunning(SMALL_POOL, /* tasks= */ 1, /* maxPerWorker= */ 0);
+    requestWaveOf(vmWithTasks(), /* durationSeconds= */ 5);
+    fleet.runFor(2_000);
+    fleet.submitToOpenQueue("short", SMALL_POOL, SimFleet.stepOfMillis(TASK_MILLIS, 1, 2_000));
+    fleet.runFor(MAX_AWAY_MILLIS + TASK_MILLIS);
+    assertEquals(Optional.of(JobState.COMPLETED), fleet.checkedState("short"));
+    assertEquals(1, fleet.runningAttemptCountOf("lasting-" + SMALL_POOL));
+  }
 }
