Room for the tasks of a lost worker is held only shortly before its lease ends

On a worker crashes beside a takeover, its lease of unknown end lasts for 10.7 s, and all that time room was kept free for its tasks that nobody could use.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningRelocations.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningRelocations.java
@@ -178,7 +178,10 @@
     return isAdmitted;
   }
 
-  /** Returns whether the worker of a task is or will be drained, or is probably lost. */
+  /**
+   * Returns whether a task will soon need another worker: its own is or will be drained, or is
+   * probably lost and its lease ends soon. Room that is held for longer is of use to nobody.
+   */
   private boolean isLeaving(Task task, long nowMillis) {
     Worker worker = task.worker;
     return worker != null
@@ -186,8 +189,12 @@
         && (!worker.cordonReason.isEmpty()
             || worker.entry.draining()
             || isDrainRequested(worker)
-            || !worker.isInPool()
-            || worker.isSilentSince(nowMillis - Worker.REPORT_VALIDITY_MILLIS));
+            || (isProbablyLost(worker, nowMillis)
+                && worker.isLeaseExpired(nowMillis + SOON_MILLIS)));
+  }
+
+  private static boolean isProbablyLost(Worker worker, long nowMillis) {
+    return !worker.isInPool() || worker.isSilentSince(nowMillis - Worker.REPORT_VALIDITY_MILLIS);
   }
 
   private boolean isDrainRequested(Worker worker) {
