The row of a job tells when the inherited leases of a worker have expired

Cause: a command to an earlier incarnation may have granted a worker the longest lease, 10 s.

A task is assigned only to a worker that has reported, so the row of its job now holds when the inherited leases of the incarnation have expired, by the store's clock, 0 if they have. The value is final. A row without it is read as before.

Price: 2 bytes for each stored attempt, 14 if inherited leases still last; no call to the store.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DecisionPartitionWriter.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DecisionPartitionWriter.java
@@ -64,6 +64,7 @@
   private final SchedulerLease lease;
   private final DecisionFences fences;
   private final SchedulerLoad load;
+  private final InheritedLeaseEnds inheritedLeaseEnds;
   private final JobProgressWriter.Listener listener;
   private final String partition;
 
@@ -86,6 +87,7 @@
       SchedulerLease lease,
       DecisionFences fences,
       SchedulerLoad load,
+      InheritedLeaseEnds inheritedLeaseEnds,
       JobProgressWriter.Listener listener,
       String partition) {
     this.store = store;
@@ -94,6 +96,7 @@
     this.lease = lease;
     this.fences = fences;
     this.load = load;
+    this.inheritedLeaseEnds = inheritedLeaseEnds;
     this.listener = listener;
     this.partition = partition;
   }
@@ -180,7 +183,8 @@
       deletes.add(cancellationKey);
     }
     if (!job.state.isFinal()) {
-      String value = ProgressRow.encode(job);
+      long now = clock.monotonicMillis();
+      String value = ProgressRow.encode(job, worker -> inheritedLeaseEnds.toStore(worker, now));
       puts.add(new Put(progressKey, value));
       return value.length();
     }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobProgressWriter.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobProgressWriter.java
@@ -39,6 +39,7 @@
       SchedulerLease lease,
       DecisionFences fences,
       SchedulerLoad load,
+      InheritedLeaseEnds inheritedLeaseEnds,
       Listener listener) {
     this.clock = clock;
     this.load = load;
@@ -49,7 +50,15 @@
                     partition -> partition,
                     partition ->
                         new DecisionPartitionWriter(
-                            store, clock, log, lease, fences, load, listener, partition)));
+                            store,
+                            clock,
+                            log,
+                            lease,
+                            fences,
+                            load,
+                            inheritedLeaseEnds,
+                            listener,
+                            partition)));
   }
 
   /** Discards all uncommitted changes, since this process no longer holds the lease. */
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.TreeMap;
 import org.sassafraslink.api.failure.Failure;
@@ -47,6 +48,7 @@
   private final Quarantine quarantine;
   private final DurationModel durationModel;
   private final DemandRate demandRate;
+  private final InheritedLeaseEnds inheritedLeaseEnds;
   private final Runnable onLeaseCheckFailed;
   private final TeamRate teamRate = new TeamRate();
   private final Map<String, Job> jobsById = new LinkedHashMap<>();
@@ -69,6 +71,7 @@
       Quarantine quarantine,
       DurationModel durationModel,
       DemandRate demandRate,
+      InheritedLeaseEnds inheritedLeaseEnds,
       Runnable onLeaseCheckFailed) {
     this.clock = clock;
     this.log = log;
@@ -80,6 +83,7 @@
     this.quarantine = quarantine;
     this.durationModel = durationModel;
     this.demandRate = demandRate;
+    this.inheritedLeaseEnds = inheritedLeaseEnds;
     this.onLeaseCheckFailed = onLeaseCheckFailed;
   }
 
@@ -186,6 +190,9 @@
       task.phase = TaskPhase.ORDERED;
       task.restored = true;
       task.movedToRestartedWorker = worker.entry.incarnation() != attempt.workerIncarnation();
+      if (!task.movedToRestartedWorker) {
+        restoreInheritedLeaseEnd(worker, attempt.inheritedLeaseEnd());
+      }
       task.startDoubt = workers.doubtAboutPredecessor();
     }
     job.forEachTask(longRunningLog::recordRestored);
@@ -194,6 +201,14 @@
     }
   }
 
+  private void restoreInheritedLeaseEnd(Worker worker, OptionalLong stored) {
+    if (stored.isPresent()) {
+      inheritedLeaseEnds
+          .fromStore(stored.getAsLong(), clock.monotonicMillis())
+          .ifPresent(worker::limitInheritedLeases);
+    }
+  }
+
   /**
    * Adds the job of a new submission, cancels the job of a cancellation, or adds a cancelled id.
    * Other rows are ignored, since the scheduler itself wrote them.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
@@ -8,6 +8,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
 import org.sassafraslink.api.fleet.JobState;
 
 /**
@@ -16,7 +18,8 @@
  * <p>The row is a JSON object of the job's state, of whether a worker is known to have accepted a
  * start, and of its tasks, which are nested arrays by occurrence, step and index. A task that has
  * never been assigned is 0 and one that is done is 1; any other task is an array of attempt,
- * failures, worker (empty if the attempt has ended), the worker's incarnation, and checkpoint.
+ * failures, worker (empty if the attempt has ended), the worker's incarnation, checkpoint, and, if
+ * known, when the inherited leases of the incarnation have expired, see {@link InheritedLeaseEnds}.
  */
 final class ProgressRow {
   private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -24,12 +27,22 @@
   private static final String BEGUN = "begun";
   private static final String TASKS = "tasks";
 
-  /** A stored attempt whose start may have been sent to its worker. */
-  record StoredAttempt(Task task, String workerId, long workerIncarnation) {}
+  /**
+   * A stored attempt whose start may have been sent to its worker.
+   *
+   * @param inheritedLeaseEnd as in {@link InheritedLeaseEnds#toStore}
+   */
+  record StoredAttempt(
+      Task task, String workerId, long workerIncarnation, OptionalLong inheritedLeaseEnd) {}
 
   private ProgressRow() {}
 
-  static String encode(Job job) {
+  /**
+   * Encodes the progress of a job.
+   *
+   * @param inheritedLeaseEnd returns the time to store for the worker of an attempt
+   */
+  static String encode(Job job, Function<Worker, OptionalLong> inheritedLeaseEnd) {
     ObjectNode row = JsonNodeFactory.instance.objectNode();
     row.put(STATE, job.state.name());
     row.put(BEGUN, job.startAccepted);
@@ -38,13 +51,14 @@
       ArrayNode stepNodes = occurrences.addArray();
       for (ImmutableList<Task> tasks : steps) {
         ArrayNode taskNodes = stepNodes.addArray();
-        tasks.forEach(task -> encode(task, taskNodes));
+        tasks.forEach(task -> encode(task, inheritedLeaseEnd, taskNodes));
       }
     }
     return row.toString();
   }
 
-  private static void encode(Task task, ArrayNode taskNodes) {
+  private static void encode(
+      Task task, Function<Worker, OptionalLong> inheritedLeaseEnd, ArrayNode taskNodes) {
     if (task.phase == TaskPhase.DONE) {
       taskNodes.add(1);
     } else if (task.attempt == 0) {
@@ -52,11 +66,12 @@
     } else {
       ArrayNode taskNode = taskNodes.addArray().add(task.attempt).add(task.failures);
       if (task.worker == null) {
-        taskNode.add("").add(0);
+        taskNode.add("").add(0).add(task.checkpoint);
       } else {
         taskNode.add(task.worker.entry.id()).add(task.worker.entry.incarnation());
+        taskNode.add(task.checkpoint);
+        inheritedLeaseEnd.apply(task.worker).ifPresent(taskNode::add);
       }
-      taskNode.add(task.checkpoint);
     }
   }
 
@@ -111,6 +126,13 @@
     return attempts.build();
   }
 
+  /** Returns the value of a node; empty if it is missing, as in rows of an earlier version. */
+  private static OptionalLong nonNegative(JsonNode node) {
+    return node.isIntegralNumber() && node.asLong() >= 0
+        ? OptionalLong.of(node.asLong())
+        : OptionalLong.empty();
+  }
+
   private static Optional<StoredAttempt> decode(JsonNode taskNode, Task task) {
     if (taskNode.isInt()) {
       task.phase = taskNode.asInt() == 1 ? TaskPhase.DONE : TaskPhase.WAITING;
@@ -122,6 +144,8 @@
     String workerId = taskNode.path(2).asText();
     return workerId.isEmpty()
         ? Optional.empty()
-        : Optional.of(new StoredAttempt(task, workerId, taskNode.path(3).asLong()));
+        : Optional.of(
+            new StoredAttempt(
+                task, workerId, taskNode.path(3).asLong(), nonNegative(taskNode.path(5))));
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -83,6 +83,7 @@
     this.log = log;
     this.leaseLog = new WorkerLeaseLog(log);
     ResponseTrackingRowStore tracked = new ResponseTrackingRowStore(store, clock);
+    InheritedLeaseEnds inheritedLeaseEnds = InheritedLeaseEnds.of(tracked::storeTime);
     this.lease =
         new SchedulerLease(tracked, clock, log, settings, holderWatch, new LeaseListener());
     this.fences = new DecisionFences(tracked, clock, log, lease, settings.process());
@@ -109,6 +110,7 @@
             quarantine,
             durationModel,
             demandRate,
+            inheritedLeaseEnds,
             lease::onFenced);
     this.jobFeed = new JobFeed(tracked, clock, log, new JobFeedListener());
     this.announcedJobs =
@@ -118,7 +120,8 @@
             id -> jobs.findJob(id) != null || jobCleaner.contains(id),
             this::applyJobRows);
     this.load = new SchedulerLoad(log);
-    this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, fences, load, jobs);
+    this.progressWriter =
+        new JobProgressWriter(tracked, clock, log, lease, fences, load, inheritedLeaseEnds, jobs);
     this.evacuations =
         new ZoneEvacuations(
             log, workers::all, settings.maxEvacuationDelayMillis(), new EvacuationActions());
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/StoreTime.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/StoreTime.java
@@ -23,6 +23,11 @@
     return storeMillis + nowMillis - receivedMillis;
   }
 
+  /** Returns the latest time that the store's clock can show at a monotonic time after sending. */
+  long latestAt(long millis) {
+    return storeMillis + (long) Math.ceil((millis - sentMillis) * (1 + MAX_RATE_DIFFERENCE));
+  }
+
   /** Returns the monotonic time until which the store's clock is certainly before a time. */
   long certainlyBeforeUntilMillis(long untilStoreMillis) {
     return sentMillis + minElapsedMillis(untilStoreMillis);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -53,6 +53,12 @@
   /** Whether it may have executed a command to an earlier incarnation. */
   boolean mayHaveInheritedLease = true;
 
+  /**
+   * When leases from commands to earlier incarnations have expired according to an earlier
+   * scheduler, monotonic ms; empty if none has stored this.
+   */
+  private OptionalLong storedInheritedEndMillis = OptionalLong.empty();
+
   /** Whether a response has shown that a later incarnation of the worker runs. */
   boolean laterIncarnationSeen;
 
@@ -158,10 +164,11 @@
    * Creates a listed worker without tasks.
    *
    * @param unknownLeasesEndMillis see {@link WorkerLease}
+   * @param unknownInheritedEndMillis see {@link WorkerLease}
    */
-  Worker(WorkerEntry entry, long unknownLeasesEndMillis) {
+  Worker(WorkerEntry entry, long unknownLeasesEndMillis, long unknownInheritedEndMillis) {
     this.entry = entry;
-    this.lease = WorkerLease.ofUnknownClock(unknownLeasesEndMillis);
+    this.lease = WorkerLease.ofUnknownClock(unknownLeasesEndMillis, unknownInheritedEndMillis);
   }
 
   /**
@@ -271,6 +278,31 @@
     return lease.longestEnd();
   }
 
+  /**
+   * Records when leases from commands to earlier incarnations have expired according to an earlier
+   * scheduler.
+   */
+  void limitInheritedLeases(long endMillis) {
+    storedInheritedEndMillis =
+        OptionalLong.of(Math.min(endMillis, storedInheritedEndMillis.orElse(endMillis)));
+    lease = lease.limitInheritedLeases(endMillis);
+  }
+
+  /**
+   * Returns how long after a response to a request sent at {@code sentMillis} leases from commands
+   * to earlier incarnations may last, on the worker's clock.
+   *
+   * @param unknownMillis how long if no earlier scheduler has stored when they expire
+   */
+  long inheritedLeaseMillis(long unknownMillis, long sentMillis) {
+    if (!mayHaveInheritedLease) {
+      return 0;
+    }
+    return storedInheritedEndMillis.isPresent()
+        ? Math.min(unknownMillis, Math.max(0, storedInheritedEndMillis.getAsLong() - sentMillis))
+        : unknownMillis;
+  }
+
   /** Returns whether a response to a request sent at {@code sentMillis} is this incarnation's. */
   boolean isOwnClock(OptionalLong responseClockMillis, long sentMillis) {
     return responseClockMillis.isEmpty()
@@ -416,7 +448,7 @@
    * incarnation, with leases that have expired at {@code millis}, monotonic ms.
    */
   void keepTasksUntil(long millis) {
-    lease = lease.withUnknownLeasesUntil(millis);
+    lease = lease.withInheritedLeasesUntil(millis);
   }
 
   WorkerLease lease() {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
@@ -13,11 +13,16 @@
  * <p>The clock may run as slow as {@link #MIN_CLOCK_RATE}, so a lease counts as expired only when
  * it has expired at that rate.
  *
- * @param unknownLeasesEndMillis when all leases have expired that earlier schedulers granted,
- *     monotonic ms
+ * @param unknownLeasesEndMillis when all leases have expired that earlier schedulers granted to
+ *     this incarnation, monotonic ms
+ * @param unknownInheritedEndMillis when all leases have expired that commands to earlier
+ *     incarnations granted before this one has reported its clock, monotonic ms
  * @param onWorkerClock empty until the incarnation has reported its clock
  */
-record WorkerLease(long unknownLeasesEndMillis, Optional<OnWorkerClock> onWorkerClock) {
+record WorkerLease(
+    long unknownLeasesEndMillis,
+    long unknownInheritedEndMillis,
+    Optional<OnWorkerClock> onWorkerClock) {
   /** Lowest rate of a worker's monotonic clock, as a fraction of true time. */
   private static final double MIN_CLOCK_RATE = 0.98;
 
@@ -34,7 +39,9 @@
     /** Granted by commands to earlier incarnations. */
     INHERITED,
     /** Granted by earlier schedulers, with an end that is unknown on the worker's clock. */
-    UNKNOWN
+    UNKNOWN,
+    /** Granted by commands to earlier incarnations, with an end unknown on the worker's clock. */
+    UNKNOWN_INHERITED
   }
 
   /**
@@ -79,8 +86,8 @@
   }
 
   /** Returns the leases of an incarnation that has not reported its clock. */
-  static WorkerLease ofUnknownClock(long unknownLeasesEndMillis) {
-    return new WorkerLease(unknownLeasesEndMillis, Optional.empty());
+  static WorkerLease ofUnknownClock(long unknownLeasesEndMillis, long unknownInheritedEndMillis) {
+    return new WorkerLease(unknownLeasesEndMillis, unknownInheritedEndMillis, Optional.empty());
   }
 
   /**
@@ -100,7 +107,7 @@
                         nowMillis,
                         /* endMillis= */ 0,
                         workerClockMillis + inheritedLeaseMillis));
-    return new WorkerLease(unknownLeasesEndMillis, Optional.of(read));
+    return new WorkerLease(unknownLeasesEndMillis, unknownInheritedEndMillis, Optional.of(read));
   }
 
   /**
@@ -131,34 +138,66 @@
   /** Returns these leases after one with this end on the worker's clock was granted. */
   WorkerLease grantUntil(long endMillis) {
     return new WorkerLease(
-        unknownLeasesEndMillis, onWorkerClock.map(known -> known.grantUntil(endMillis)));
+        unknownLeasesEndMillis,
+        unknownInheritedEndMillis,
+        onWorkerClock.map(known -> known.grantUntil(endMillis)));
   }
 
-  /** Returns these leases with others of unknown end that have expired at {@code endMillis}. */
-  WorkerLease withUnknownLeasesUntil(long endMillis) {
-    return new WorkerLease(Math.max(unknownLeasesEndMillis, endMillis), onWorkerClock);
+  /**
+   * Returns these leases with others of unknown end, granted to an earlier incarnation, that have
+   * expired at {@code endMillis}.
+   */
+  WorkerLease withInheritedLeasesUntil(long endMillis) {
+    return new WorkerLease(
+        unknownLeasesEndMillis, Math.max(unknownInheritedEndMillis, endMillis), onWorkerClock);
+  }
+
+  /**
+   * Returns these leases, given that those from commands to earlier incarnations have expired at
+   * {@code endMillis}, monotonic ms.
+   */
+  WorkerLease limitInheritedLeases(long endMillis) {
+    return new WorkerLease(
+        unknownLeasesEndMillis, Math.min(unknownInheritedEndMillis, endMillis), onWorkerClock);
   }
 
   /** Returns whether every lease has expired. */
   boolean isExpired(long nowMillis) {
     return nowMillis > unknownLeasesEndMillis
+        && nowMillis > unknownInheritedEndMillis
         && onWorkerClock.map(known -> known.isExpired(nowMillis)).orElse(true);
   }
 
   /** Returns the last time at which a lease may not have expired, monotonic ms. */
   long latestExpiryMillis() {
     return Math.max(
-        unknownLeasesEndMillis,
+        Math.max(unknownLeasesEndMillis, unknownInheritedEndMillis),
         onWorkerClock
             .map(known -> known.expiryMillis(Math.max(known.endMillis, known.inheritedEndMillis)))
             .orElse(unknownLeasesEndMillis));
   }
 
+  /**
+   * Returns the last time at which a lease from a command to an earlier incarnation may not have
+   * expired, monotonic ms.
+   */
+  long latestInheritedExpiryMillis() {
+    return Math.max(
+        unknownInheritedEndMillis,
+        onWorkerClock
+            .map(known -> known.expiryMillis(known.inheritedEndMillis))
+            .orElse(unknownInheritedEndMillis));
+  }
+
   /** Returns which leases expire last. */
   Bound lastBound() {
-    if (latestExpiryMillis() == unknownLeasesEndMillis) {
+    long latestExpiryMillis = latestExpiryMillis();
+    if (latestExpiryMillis == unknownLeasesEndMillis) {
       return Bound.UNKNOWN;
     }
+    if (latestExpiryMillis == unknownInheritedEndMillis) {
+      return Bound.UNKNOWN_INHERITED;
+    }
     return onWorkerClock.map(known -> known.inheritedEndMillis > known.endMillis).orElse(false)
         ? Bound.INHERITED
         : Bound.GRANTED;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -234,7 +234,8 @@
           "silences",
           worker.consecutiveCallFailures);
     }
-    worker.recordResponse(report.clockMillis(), inheritedLeaseMillis(worker), sentMillis, now);
+    worker.recordResponse(
+        report.clockMillis(), inheritedLeaseMillis(worker, sentMillis), sentMillis, now);
     worker.lastAcknowledgedEnd = Math.max(worker.lastAcknowledgedEnd, acknowledgedEnd);
     listener.onReport(worker, report, sentMillis);
     worker.hasReported = true;
@@ -242,11 +243,10 @@
         now + (worker.isEmpty() ? IDLE_ACKNOWLEDGE_DELAY_MILLIS : BATCH_DELAY_MILLIS);
   }
 
-  private long inheritedLeaseMillis(Worker worker) {
+  private long inheritedLeaseMillis(Worker worker, long sentMillis) {
     long ageMillis = clock.wallMillis() - worker.entry.incarnation();
-    return worker.mayHaveInheritedLease
-        ? settings.lateCommandBounds().inheritedLeaseMillis(ageMillis)
-        : 0;
+    return worker.inheritedLeaseMillis(
+        settings.lateCommandBounds().inheritedLeaseMillis(ageMillis), sentMillis);
   }
 
   private void applyFailure(Worker worker, CallFailure failure, long sentRegistration, long now) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -284,16 +284,20 @@
 
   /**
    * Creates a worker. If it does not report, the leases that earlier schedulers granted it are
-   * known only by the time at which these schedulers ended.
+   * known only by the time at which these schedulers ended. So are those from commands to earlier
+   * incarnations, unless the row of a job says more.
    */
   private Worker createWorker(WorkerEntry entry) {
     long ageMillis = clock.wallMillis() - entry.incarnation();
     long sincePredecessorMillis = clock.monotonicMillis() - predecessorEndMillis;
     long inheritedLeaseMillis =
-        LateCommandBounds.longestTrueMillis(
-            lateCommands.inheritedLeaseMillis(ageMillis - sincePredecessorMillis));
+        lateCommands.inheritedLeaseMillis(ageMillis - sincePredecessorMillis);
+    long inheritedEndMillis =
+        predecessorEndMillis + LateCommandBounds.longestTrueMillis(inheritedLeaseMillis);
     return new Worker(
-        entry, predecessorEndMillis + Math.max(longestOwnLeaseMillis, inheritedLeaseMillis));
+        entry,
+        predecessorEndMillis + longestOwnLeaseMillis,
+        inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
   }
 
   /** Creates a worker whose kind is unknown until its own entry is read. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/TestWorkers.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/TestWorkers.java
@@ -21,7 +21,8 @@
     Worker worker =
         new Worker(
             earlier.entry.withIncarnation(earlier.entry.incarnation() + 1),
-            /* unknownLeasesEndMillis= */ 0);
+            /* unknownLeasesEndMillis= */ 0,
+            /* unknownInheritedEndMillis= */ 0);
     worker.hasReported = true;
     return worker;
   }
@@ -40,7 +41,8 @@
                 /* labels= */ ImmutableList.of("a", "r1"),
                 CAPACITY,
                 /* draining= */ false),
-            /* unknownLeasesEndMillis= */ 0);
+            /* unknownLeasesEndMillis= */ 0,
+            /* unknownInheritedEndMillis= */ 0);
     worker.hasReported = true;
     return worker;
   }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseTest.java
@@ -30,7 +30,7 @@
 
   @Test
   void noLeaseEndIsKnownBeforeTheClockIsReported() {
-    WorkerLease lease = WorkerLease.ofUnknownClock(NOW_MILLIS);
+    WorkerLease lease = WorkerLease.ofUnknownClock(NOW_MILLIS, 0);
     assertEquals(Optional.empty(), lease.endOf(LEASE_MILLIS, NOW_MILLIS));
     assertEquals(Optional.empty(), lease.longestEnd());
     assertEquals(lease, lease.grantUntil(NOW_MILLIS + LEASE_MILLIS));
@@ -39,7 +39,7 @@
   /** Guards against releasing tasks that commands to an earlier incarnation may have started. */
   @Test
   void leasesOfUnknownEndCountAsExpiredWithTheClockOrWithoutIt() {
-    WorkerLease unread = WorkerLease.ofUnknownClock(NOW_MILLIS);
+    WorkerLease unread = WorkerLease.ofUnknownClock(NOW_MILLIS, 0);
     WorkerLease read =
         unread.read(
             /* workerClockMillis= */ 500, /* inheritedLeaseMillis= */ 0, NOW_MILLIS - 3_000);
@@ -61,7 +61,7 @@
     long bornMillis = entryUptimeMillis;
     long reportMillis = bornMillis + firstReportAgeMillis;
     WorkerLease lease =
-        WorkerLease.ofUnknownClock(0)
+        WorkerLease.ofUnknownClock(0, 0)
             .read((long) (firstReportAgeMillis * rate), MAX_LEASE_MILLIS, reportMillis);
     double executedClockMillis = firstReportAgeMillis * rate * executedPart;
     double trueExpiryMillis = bornMillis + (executedClockMillis + MAX_LEASE_MILLIS) / rate;
@@ -76,7 +76,7 @@
       @ForAll @LongRange(min = 0, max = 10_000_000_000L) long workerUptimeMillis,
       @ForAll @DoubleRange(min = 0.98, max = 1) double rate,
       @ForAll("steps") List<Step> steps) {
-    WorkerLease lease = WorkerLease.ofUnknownClock(0);
+    WorkerLease lease = WorkerLease.ofUnknownClock(0, 0);
     long elapsedMillis = 0;
     double longestEndMillis = 0;
     for (Step step : steps) {
@@ -108,11 +108,13 @@
   @Property(tries = 1_000, seed = "20261206")
   void latestExpiryIsTheLastTimeBeforeExpiry(
       @ForAll @LongRange(min = 0, max = 20_000) long unknownLeaseMillis,
+      @ForAll @LongRange(min = 0, max = 20_000) long unknownInheritedMillis,
       @ForAll @LongRange(min = 0, max = 20_000) long leaseMillis,
       @ForAll @LongRange(min = 0, max = 20_000) long inheritedLeaseMillis,
       @ForAll @LongRange(min = 0, max = 10_000_000_000L) long workerClockMillis) {
+    long unknownInheritedEndMillis = NOW_MILLIS + unknownInheritedMillis;
     WorkerLease lease =
-        WorkerLease.ofUnknownClock(NOW_MILLIS + unknownLeaseMillis)
+        WorkerLease.ofUnknownClock(NOW_MILLIS + unknownLeaseMillis, unknownInheritedEndMillis)
             .read(workerClockMillis, inheritedLeaseMillis, NOW_MILLIS)
             .grantUntil(workerClockMillis + leaseMillis);
     assertFalse(lease.isExpired(lease.latestExpiryMillis()));
@@ -120,6 +122,10 @@
     assertEquals(
         lease.latestExpiryMillis() == NOW_MILLIS + unknownLeaseMillis,
         lease.lastBound() == WorkerLease.Bound.UNKNOWN);
+    assertEquals(
+        lease.latestExpiryMillis() == unknownInheritedEndMillis
+            && unknownInheritedMillis > unknownLeaseMillis,
+        lease.lastBound() == WorkerLease.Bound.UNKNOWN_INHERITED);
   }
 
   /** Guards against taking a late or an early response of an incarnation for one of another. */
@@ -129,7 +135,7 @@
       @ForAll @DoubleRange(min = 0.98, max = 1) double rate,
       @ForAll @LongRange(min = -3_000, max = 3_000) long sentAfterReadMillis,
       @ForAll @LongRange(min = 0, max = 20_000) long responseTimeMillis) {
-    WorkerLease lease = WorkerLease.ofUnknownClock(0).read(workerUptimeMillis, 0, NOW_MILLIS);
+    WorkerLease lease = WorkerLease.ofUnknownClock(0, 0).read(workerUptimeMillis, 0, NOW_MILLIS);
     long sentMillis = NOW_MILLIS + sentAfterReadMillis;
     double elapsedMillis = (sentAfterReadMillis + responseTimeMillis) * rate;
     long responseClockMillis = (long) Math.floor(workerUptimeMillis + elapsedMillis);
@@ -139,12 +145,12 @@
   /** Guards against taking the execution by a later incarnation for one by the earlier. */
   @Test
   void clockOfLaterIncarnationIsBehind() {
-    WorkerLease lease = WorkerLease.ofUnknownClock(0).read(2_900, 0, NOW_MILLIS);
+    WorkerLease lease = WorkerLease.ofUnknownClock(0, 0).read(2_900, 0, NOW_MILLIS);
     assertEquals(Optional.of(2_900L + 980 - 2), lease.lowestClockAt(NOW_MILLIS + 1_000));
     assertFalse(lease.canBeClock(10, NOW_MILLIS + 1_000));
     assertFalse(lease.canBeClock(3_877, NOW_MILLIS + 1_000));
     assertTrue(lease.canBeClock(3_878, NOW_MILLIS + 1_000));
-    assertTrue(WorkerLease.ofUnknownClock(0).canBeClock(10, NOW_MILLIS));
+    assertTrue(WorkerLease.ofUnknownClock(0, 0).canBeClock(10, NOW_MILLIS));
   }
 
   @Provide
