Tests: planned work and the time after a power loss are no faults

The checker of long-running tasks and of cancelled jobs took a graceful stop of a scheduler, and the start of a process on a node where none ran, for faults, and a node without power for a fault that lasts until a process starts there again. So it allowed a wait after planned work, and as long a wait as one likes after a power loss. The rule knows faults only, and 7 s after the last one. Now a fault is recorded when a process in service ends, and at no other time.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeWorker.java
@@ -29,9 +29,6 @@
   /** How long the worker takes to stop an attempt, in ms. */
   static final long STOP_DURATION_MILLIS = 400;
 
-  /** The duration to which the worker shortens a longer lease, in ms on its own clock. */
-  static final long MAX_LEASE_MILLIS = 10_000;
-
   /** An attempt of a task that was started on this worker. */
   private static final class RunningAttempt {
     private final TaskId task;
@@ -72,6 +69,10 @@
   private final Set<DisabledMechanism> disabled;
   private final SimGangs gangs;
   private final double clockRate;
+
+  /** The duration to which the worker shortens a longer lease, in ms on its own clock. */
+  private final long maxLeaseMillis;
+
   final long startedMillis;
 
   /** Among them may be several of one task, since a worker rejects no higher attempt. */
@@ -97,7 +98,8 @@
       Resources capacity,
       Set<DisabledMechanism> disabled,
       SimGangs gangs,
-      double clockRate) {
+      double clockRate,
+      long maxLeaseMillis) {
     this.id = id;
     this.incarnation = incarnation;
     this.clock = clock;
@@ -107,6 +109,7 @@
     this.disabled = disabled;
     this.gangs = gangs;
     this.clockRate = clockRate;
+    this.maxLeaseMillis = maxLeaseMillis;
     this.startedMillis = clock.nowMillis();
     enforceLease();
   }
@@ -138,8 +141,7 @@
   }
 
   private void extendLease(long endMillis) {
-    leaseEndMillis =
-        Math.max(leaseEndMillis, Math.min(endMillis, clockMillis() + MAX_LEASE_MILLIS));
+    leaseEndMillis = Math.max(leaseEndMillis, Math.min(endMillis, clockMillis() + maxLeaseMillis));
   }
 
   /** Returns a response of this incarnation. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -267,8 +267,10 @@
   /** Kills the process on a node, if any. */
   public void killNode(String nodeName) {
     SimNode previous = nodes.remove(nodeName);
-    recordFault();
     if (previous != null) {
+      if (previous.isInService()) {
+        recordFault();
+      }
       previous.kill();
       gangs.forgetReports();
     }
@@ -318,7 +320,8 @@
             capacity,
             disabledMechanisms,
             gangs,
-            workerClockRate);
+            workerClockRate,
+            layout.maxLeaseMillis());
     workers.put(id, worker);
     capacityByIncarnation.put(worker.incarnation, capacity);
     poolByWorkerId.put(id, pool);
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimLayout.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimLayout.java
@@ -22,17 +22,20 @@
  * @param movesPerSecond the number of moves that the platform accepts in a second; empty if its
  *     interface for VMs is not available
  * @param tasksRunAsEstimated whether tasks run exactly as long as estimated
+ * @param maxLeaseMillis the duration to which workers shorten longer leases, in ms on their clocks
  */
 public record SimLayout(
     FleetSettings settings,
     ImmutableMap<String, Integer> vmsByPool,
     Resources workerCapacity,
     OptionalInt movesPerSecond,
-    boolean tasksRunAsEstimated) {
+    boolean tasksRunAsEstimated,
+    long maxLeaseMillis) {
   /** The pool whose VMs are powered off. */
   public static final String STANDBY_POOL = "standby";
 
   static final int MAX_FAILURES = 3;
+  private static final long USUAL_MAX_LEASE_MILLIS = 10_000;
 
   /** Returns a fleet with one pool, one queue and one team, whose VMs cannot be moved. */
   public static SimLayout singlePool(int workerCount) {
@@ -49,13 +52,25 @@
         ImmutableMap.of(SimFleet.POOL, workerCount),
         new Resources(8_000, 32_000, 0),
         OptionalInt.empty(),
-        /* tasksRunAsEstimated= */ false);
+        /* tasksRunAsEstimated= */ false,
+        USUAL_MAX_LEASE_MILLIS);
   }
 
   /** Returns this fleet with tasks that run exactly as long as estimated. */
   public SimLayout withTasksRunAsEstimated() {
     return new SimLayout(
-        settings, vmsByPool, workerCapacity, movesPerSecond, /* tasksRunAsEstimated= */ true);
+        settings,
+        vmsByPool,
+        workerCapacity,
+        movesPerSecond,
+        /* tasksRunAsEstimated= */ true,
+        maxLeaseMillis);
+  }
+
+  /** Returns this fleet with workers that shorten leases to {@code maxLeaseMillis}. */
+  public SimLayout withMaxLease(long maxLeaseMillis) {
+    return new SimLayout(
+        settings, vmsByPool, workerCapacity, movesPerSecond, tasksRunAsEstimated, maxLeaseMillis);
   }
 
   /** Returns a fleet with one pool, and one open queue whose starts require tickets. */
@@ -74,7 +89,8 @@
         ImmutableMap.of(SimFleet.POOL, workerCount),
         new Resources(8_000, 32_000, 0),
         OptionalInt.empty(),
-        /* tasksRunAsEstimated= */ true);
+        /* tasksRunAsEstimated= */ true,
+        USUAL_MAX_LEASE_MILLIS);
   }
 
   /** Returns how the advice service answers for the queue; empty if no queue requires tickets. */
@@ -103,7 +119,8 @@
         ImmutableMap.copyOf(vmsByPool),
         new Resources(16_000, 64_000, 0),
         OptionalInt.of(movesPerSecond),
-        /* tasksRunAsEstimated= */ true);
+        /* tasksRunAsEstimated= */ true,
+        USUAL_MAX_LEASE_MILLIS);
   }
 
   private static FleetSettings settings(
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -81,6 +81,7 @@
   private boolean operatorReadsFail;
   private boolean paused;
   private boolean killed;
+  private boolean stopped;
   private boolean holding;
   private boolean heartbeatsLost;
 
@@ -132,7 +133,7 @@
         /* peerHost= */ name + "@" + fleet.clock.nowMillis(),
         fleet.disabledMechanisms.contains(DisabledMechanism.BOUND_ON_INHERITED_LEASES)
             ? MAX_LEASE_OF_SAME_LEASES_MILLIS
-            : FakeWorker.MAX_LEASE_MILLIS,
+            : fleet.layout.maxLeaseMillis(),
         /* vmCommandsPerSecond= */ fleet.layout.movesPerSecond().orElse(1),
         fleet.maxEvacuationDelayMillis);
   }
@@ -240,24 +241,33 @@
     return scheduler.isScheduling();
   }
 
-  /** Returns whether it does not run, or its commands or heartbeats are disturbed. */
+  /** Returns whether it has neither ended nor been stopped. */
+  boolean isInService() {
+    return !killed && !stopped;
+  }
+
+  /**
+   * Returns whether it is paused, or its commands or heartbeats are disturbed. A process that has
+   * ended has no lasting fault: its end was one.
+   */
   boolean hasFault() {
-    return paused
-        || heartbeatsLost
-        || operatorReadsFail
-        || commandQueueMillis > 0
-        || defaultCommandOutcome != CommandOutcome.RESPONSE_RECEIVED
-        || commandOutcomeByWorkerId.values().stream()
-            .anyMatch(outcome -> outcome != CommandOutcome.RESPONSE_RECEIVED);
+    return !killed
+        && (paused
+            || heartbeatsLost
+            || operatorReadsFail
+            || commandQueueMillis > 0
+            || defaultCommandOutcome != CommandOutcome.RESPONSE_RECEIVED
+            || commandOutcomeByWorkerId.values().stream()
+                .anyMatch(outcome -> outcome != CommandOutcome.RESPONSE_RECEIVED));
   }
 
   public boolean isPaused() {
     return paused;
   }
 
-  /** Stops the scheduler gracefully, so that it releases the lease. */
+  /** Stops the scheduler gracefully, so that it releases the lease. This is no fault. */
   public void stop() {
-    fleet.recordFault();
+    stopped = true;
     scheduler.stop();
   }
 
