A worker's lease lasts from the last renewal of the scheduling lease on

Cause: a worker's lease was granted from the time of sending, so a successor had to count from the last time at which the predecessor can have sent a command, up to 1.3 s after a takeover and 2.3 s after the last renewal that it has seen.

A grant now ends leaseMillis after the sending of the renewal that is in force. The takeover's transaction fails if there is a later renewal than the one that the successor knows, so all grants of earlier schedulers end one lease after it first read that one. The value of a renewal says that its holder grants leases so; for one of an earlier version the successor counts as before.

Price: leases are shorter by the age of the renewal, 0.6 s and the response time of the store at most while the store responds.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/LeaseValidity.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LeaseValidity.java
@@ -1,6 +1,7 @@
 package org.sassafraslink.scheduler;
 
 import org.sassafraslink.api.fleet.FleetClock;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 
 /**
  * Until when a process may act as the holder of the scheduling lease. Both clocks must show an
@@ -19,6 +20,12 @@
         sentMillis + SchedulerLease.LEASE_MILLIS, sentWallMillis + SchedulerLease.LEASE_MILLIS);
   }
 
+  /** Returns how long ago the renewal was sent, by the clock that has advanced more, in ms. */
+  long ageMillis(ClockTimes now) {
+    return SchedulerLease.LEASE_MILLIS
+        - Math.min(untilMillis - now.monotonicMillis(), untilWallMillis - now.wallMillis());
+  }
+
   boolean isValidAt(FleetClock clock) {
     return clock.monotonicMillis() < untilMillis && clock.wallMillis() < untilWallMillis;
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -403,12 +403,12 @@
 
   private final class LeaseListener implements SchedulerLease.Listener {
     @Override
-    public void onAcquired(long epoch, long predecessorEndMillis) {
+    public void onAcquired(long epoch, long predecessorEndMillis, long predecessorGrantMillis) {
       long now = clock.monotonicMillis();
       leaseAcquiredMillis = now;
       Scheduler.this.predecessorEndMillis = predecessorEndMillis;
       reset();
-      workers.reset(Math.max(now, predecessorEndMillis));
+      workers.reset(Math.max(now, predecessorEndMillis), predecessorGrantMillis);
       vmInventory.reset();
       commandLog.reset();
       maintenance.reset();
@@ -426,7 +426,7 @@
     @Override
     public void onLost() {
       reset();
-      workers.reset(0);
+      workers.reset(0, 0);
     }
   }
 
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -17,6 +17,7 @@
 import org.sassafraslink.api.fleet.RowStore.Transaction;
 import org.sassafraslink.api.fleet.VmClient.Authority;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 import org.sassafraslink.scheduler.command.CommandPermission;
 
 /**
@@ -52,14 +53,19 @@
   private static final RowKey RENEWAL_KEY = new RowKey(TABLE, JobRows.MAIN_PARTITION, "renewal");
   private static final String RELEASED_VALUE = "released";
 
+  /** Ends the value of a renewal whose holder grants leases to workers from the renewal on. */
+  private static final String GRANTS_FROM_RENEWAL = " grants-from-renewal";
+
   /** Notified when this process acquires or loses the lease; called on the scheduler's thread. */
   interface Listener {
     /**
      * Called when this process has acquired the lease and starts to schedule.
      *
      * @param predecessorEndMillis when its predecessor sends no more commands, monotonic ms
+     * @param predecessorGrantMillis from when on the last leases last that its predecessor can have
+     *     granted to workers, monotonic ms
      */
-    void onAcquired(long epoch, long predecessorEndMillis);
+    void onAcquired(long epoch, long predecessorEndMillis, long predecessorGrantMillis);
 
     /** Called before this process gives the lease up, while workers still accept its commands. */
     void onGivingUp();
@@ -95,9 +101,12 @@
   /** Version of the store up to which the rows have been read; -1 if they must all be read. */
   private long readVersion = -1;
 
-  /** When this process first read the current version of the renewal row, monotonic ms. */
+  /** When this process first knew the current version of the renewal row, monotonic ms. */
   private long renewalChangedMillis;
 
+  /** Whether the holder grants leases to workers from the current renewal on, not from later. */
+  private boolean grantsFromRenewal;
+
   /** Since when the lease has been free according to this process, monotonic ms; 0 if it is not. */
   private long freeSinceMillis;
 
@@ -157,6 +166,14 @@
     return CommandPermission.of(() -> validity.isValidAt(clock) && epoch() == commandEpoch);
   }
 
+  /**
+   * Returns how long a lease may last that is granted to a worker now, in ms. It lasts for {@code
+   * leaseMillis} from the last renewal of this lease on, so that a successor knows its end.
+   */
+  long grantableMillis(long leaseMillis, ClockTimes now) {
+    return Math.max(0, leaseMillis - validity.ageMillis(now));
+  }
+
   boolean isHolding() {
     return holding;
   }
@@ -269,6 +286,11 @@
                 new Put(HOLDER_KEY, newHolder.encode()), new Put(RENEWAL_KEY, nextRenewalValue())),
             ImmutableList.of());
     long predecessorEndMillis = observation().authorityEndMillis(nowMillis);
+    // A released lease was renewed before the release at the latest.
+    long predecessorGrantMillis =
+        grantsFromRenewal || released
+            ? Math.min(nowMillis, renewalChangedMillis)
+            : Math.max(nowMillis, predecessorEndMillis);
     takeoverPending = true;
     callPending = false;
     generation++;
@@ -280,7 +302,7 @@
           if (outcome instanceof Outcome.Committed committed) {
             holder = newHolder;
             holderVersion = committed.version();
-            renewalVersion = committed.version();
+            recordOwnRenewal(committed.version());
             released = false;
             holderReportedGone = false;
             holding = true;
@@ -290,9 +312,11 @@
                 "epoch",
                 newHolder.epoch(),
                 "predecessorMillis",
-                predecessorEndMillis - nowMillis);
+                predecessorEndMillis - nowMillis,
+                "predecessorGrantAgo",
+                nowMillis - predecessorGrantMillis);
             watch.setHolding(true);
-            listener.onAcquired(newHolder.epoch(), predecessorEndMillis);
+            listener.onAcquired(newHolder.epoch(), predecessorEndMillis, predecessorGrantMillis);
           } else {
             // Another process was faster, or the response was lost: the rows must be read again.
             readVersion = -1;
@@ -318,7 +342,7 @@
 
   private void applyRenewalOutcome(Outcome outcome, long sentMillis, long sentWallMillis) {
     if (outcome instanceof Outcome.Committed committed) {
-      renewalVersion = committed.version();
+      recordOwnRenewal(committed.version());
       validity = LeaseValidity.renewed(sentMillis, sentWallMillis);
       nextCallMillis = sentMillis + RENEWAL_INTERVAL_MILLIS;
     } else if (outcome instanceof Outcome.Conflict conflict) {
@@ -327,7 +351,7 @@
       boolean isSameHolder = currentHolder.map(row -> row.version() == holderVersion).orElse(false);
       if (isSameHolder && currentRenewal.isPresent()) {
         // An earlier renewal by this process was applied, but its response was lost.
-        renewalVersion = currentRenewal.get().version();
+        recordOwnRenewal(currentRenewal.get().version());
         nextCallMillis = clock.monotonicMillis();
       } else {
         endHolding("conflict");
@@ -347,6 +371,12 @@
     }
   }
 
+  private void recordOwnRenewal(long version) {
+    renewalVersion = version;
+    renewalChangedMillis = clock.monotonicMillis();
+    grantsFromRenewal = true;
+  }
+
   private boolean isStoreUnresponsive(long nowMillis) {
     return nowMillis - store.lastResponseMillis() >= MAX_STORE_UNRESPONSIVE_MILLIS;
   }
@@ -422,6 +452,7 @@
       renewalVersion = row.version();
       renewalChangedMillis = nowMillis;
       released = row.value().equals(RELEASED_VALUE);
+      grantsFromRenewal = row.value().endsWith(GRANTS_FROM_RENEWAL);
       if (holderReportedGone) {
         // The holder is alive, or has ended while this renewal was under way.
         watchHolder();
@@ -452,7 +483,7 @@
 
   private String nextRenewalValue() {
     renewalCount++;
-    return settings.process() + " " + renewalCount;
+    return settings.process() + " " + renewalCount + GRANTS_FROM_RENEWAL;
   }
 
   private static Optional<StoredRow> findRow(ImmutableList<StoredRow> rows, RowKey key) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/TaskCommandSender.java
@@ -277,7 +277,10 @@
 
   private Optional<Long> leaseEndOfStart(Worker worker, boolean isResend) {
     long now = clock.monotonicMillis();
-    return isResend ? worker.repeatLease(now) : worker.grantLease(settings.leaseMillis(), now);
+    return isResend
+        ? worker.repeatLease(now)
+        : worker.grantLease(
+            lease.grantableMillis(settings.leaseMillis(), ClockTimes.read(clock)), now);
   }
 
   /**
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -8,6 +8,7 @@
 import org.sassafraslink.api.fleet.WorkerClient.ReportRequest;
 import org.sassafraslink.api.fleet.WorkerReport;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 import org.sassafraslink.scheduler.command.CommandPermission;
 
 /**
@@ -172,7 +173,8 @@
     // without tasks needs no lease, and a later incarnation may execute the request.
     Optional<Long> leaseEnd =
         worker.hasReported && !worker.isEmpty() && !worker.laterIncarnationSeen
-            ? worker.grantLease(settings.leaseMillis(), nowMillis)
+            ? worker.grantLease(
+                lease.grantableMillis(settings.leaseMillis(), ClockTimes.read(clock)), nowMillis)
             : Optional.empty();
     ReportRequest request =
         new ReportRequest(
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -62,6 +62,9 @@
   /** When the scheduler before this one sends no more commands, monotonic ms. */
   private long predecessorEndMillis;
 
+  /** When all leases have expired that earlier schedulers granted to workers, monotonic ms. */
+  private long earlierLeasesEndMillis;
+
   /** The number of registrations of incarnations in this epoch. */
   private long registrations;
 
@@ -121,13 +124,16 @@
    * Removes all workers, so that the whole list is read again.
    *
    * @param predecessorEndMillis when earlier schedulers send no more commands, monotonic ms
+   * @param predecessorGrantMillis from when on the last leases last that they can have granted,
+   *     monotonic ms
    */
-  void reset(long predecessorEndMillis) {
+  void reset(long predecessorEndMillis, long predecessorGrantMillis) {
     listFeed.reset();
     workersById.clear();
     detachedWorkers.clear();
     index = null;
     this.predecessorEndMillis = predecessorEndMillis;
+    earlierLeasesEndMillis = predecessorGrantMillis + longestOwnLeaseMillis;
     registrations = 0;
     formerIncarnations.clear();
   }
@@ -284,8 +290,8 @@
 
   /**
    * Creates a worker. If it does not report, the leases that earlier schedulers granted it are
-   * known only by the time at which these schedulers ended. So are those from commands to earlier
-   * incarnations, unless the row of a job says more.
+   * known only by the last renewal of theirs, and those from commands to earlier incarnations by
+   * the time at which these schedulers ended, unless the row of a job says more.
    */
   private Worker createWorker(WorkerEntry entry) {
     long ageMillis = clock.wallMillis() - entry.incarnation();
@@ -295,9 +301,7 @@
     long inheritedEndMillis =
         predecessorEndMillis + LateCommandBounds.longestTrueMillis(inheritedLeaseMillis);
     return new Worker(
-        entry,
-        predecessorEndMillis + longestOwnLeaseMillis,
-        inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
+        entry, earlierLeasesEndMillis, inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
   }
 
   /** Creates a worker whose kind is unknown until its own entry is read. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionFenceConflictTest.java
@@ -80,7 +80,7 @@
     }
 
     @Override
-    public void onAcquired(long epoch, long predecessorEndMillis) {
+    public void onAcquired(long epoch, long predecessorEndMillis, long predecessorGrantMillis) {
       fences.reset();
     }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/VmCommandLogTest.java
@@ -139,7 +139,7 @@
     }
 
     @Override
-    public void onAcquired(long epoch, long predecessorEndMillis) {
+    public void onAcquired(long epoch, long predecessorEndMillis, long predecessorGrantMillis) {
       commandLog.reset();
     }
 
