Absence of a long-running task counts from when its worker was last heard

Cause: long_running.away and .back counted from the release in our own books, after the lease, and after a takeover from the read of the job: 24 ms in the log for a gap of 17 s. long_running.state showed nothing while the lease of a silent worker lasted.

Change: awayMillis counts from when the worker of the attempt was last heard, or from the takeover if this process never heard it, and only for a worker that answers from the release; the new field since says which (HEARD, TAKEOVER or RELEASE). long_running.state and its gauges count tasks on silent or unreported workers as away, for the reason unreported.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -93,7 +93,8 @@
     commandSender = taskCommandSender;
   }
 
-  void reset() {
+  void reset(long takeoverMillis) {
+    longRunningLog.reset(takeoverMillis);
     jobsById.clear();
     begunJobs.clear();
     usageByTeam.clear();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningStateLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningStateLog.java
@@ -47,6 +47,8 @@
 
   private volatile Absences lastSecond = Absences.NONE;
 
+  private long takeoverMillis;
+
   /** When the next lines are due, monotonic ms; 0 before the first call since the reset. */
   private long nextLogMillis;
 
@@ -65,8 +67,13 @@
     this.tasksWithoutPlace = tasksWithoutPlace;
   }
 
-  /** Discards all state, because this process has acquired or lost the scheduling lease. */
-  void reset() {
+  /**
+   * Discards all state, because this process has acquired or lost the scheduling lease.
+   *
+   * @param newTakeoverMillis when it was acquired, monotonic ms
+   */
+  void reset(long newTakeoverMillis) {
+    takeoverMillis = newTakeoverMillis;
     lastSecond = Absences.NONE;
     nextLogMillis = 0;
   }
@@ -144,7 +151,7 @@
           if (job.spec.steps().get(step).longRunning()
               && job.isStepReady(occurrence, step, wallMillis)) {
             for (Task task : job.occurrences().get(occurrence).get(step)) {
-              if (task.phase != TaskPhase.RUNNING && task.phase != TaskPhase.DONE) {
+              if (isAway(task)) {
                 absencesByPool
                     .computeIfAbsent(queue.pool(), pool -> new ArrayList<>())
                     .add(new Absence(reasonOf(task, queue), awayMillis(task)));
@@ -155,6 +162,15 @@
       }
     }
 
+    /** Returns whether it does not run; on a silent worker that is unknown, and it counts. */
+    private boolean isAway(Task task) {
+      return switch (task.phase) {
+        case RUNNING -> task.worker.isSilentOrUnreported();
+        case DONE -> false;
+        case WAITING, ASSIGNED, ORDERED, STOPPING -> true;
+      };
+    }
+
     private AwayReason reasonOf(Task task, QueueConfig queue) {
       Resources teamLimit = config.upperLimitOf(task.job.spec.team());
       AwayTask away =
@@ -175,11 +191,18 @@
 
     /** Returns for how long a task has been away, or if it has never run, could have started. */
     private long awayMillis(Task task) {
-      if (task.phase == TaskPhase.STOPPING && task.awaySinceMillis == 0) {
+      if (task.awaySince.isPresent()) {
+        return nowMillis - task.awaySince.orElseThrow().millis();
+      }
+      if (task.confirmedMillis == 0 && !task.restored) {
+        return nowMillis - readySinceMillis(task);
+      }
+      long lastRunMillis = task.lastKnownRun(takeoverMillis, nowMillis).millis();
+      if (task.phase == TaskPhase.STOPPING && task.stopAcceptedMillis > 0) {
         // It may run until its worker has accepted the stop.
-        return task.stopAcceptedMillis > 0 ? nowMillis - task.stopAcceptedMillis : 0;
+        lastRunMillis = Math.min(lastRunMillis, task.stopAcceptedMillis);
       }
-      return nowMillis - (task.awaySinceMillis > 0 ? task.awaySinceMillis : readySinceMillis(task));
+      return nowMillis - lastRunMillis;
     }
 
     private long readySinceMillis(Task task) {
@@ -269,7 +292,8 @@
       case ASSIGNED -> Progress.ASSIGNED;
       case ORDERED -> Progress.START_SENT;
       case STOPPING -> Progress.STOPPING;
-      case RUNNING, DONE -> throw new IllegalArgumentException("not away: " + phase);
+      case RUNNING -> Progress.UNHEARD;
+      case DONE -> throw new IllegalArgumentException("not away: " + phase);
     };
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningTaskLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningTaskLog.java
@@ -1,6 +1,8 @@
 package org.sassafraslink.scheduler;
 
+import java.util.Optional;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.relocation.AwaySince;
 
 /**
  * Writes a line when a long-running task loses its worker and when it runs again.
@@ -11,17 +13,25 @@
 final class LongRunningTaskLog {
   private final EventLog log;
 
+  /** When this process acquired the scheduling lease, monotonic ms. */
+  private long takeoverMillis;
+
   LongRunningTaskLog(EventLog log) {
     this.log = log;
   }
 
+  /** Discards all state, because this process has acquired or lost the scheduling lease. */
+  void reset(long newTakeoverMillis) {
+    takeoverMillis = newTakeoverMillis;
+  }
+
   /**
    * Records that a task of a job, whose previous scheduler has stored its attempts, has no worker.
-   * Since when is unknown, but at least since this process first read the job.
+   * Since when is unknown, but at least since the takeover.
    */
   void recordRestored(Task task) {
     if (task.step.longRunning() && task.phase == TaskPhase.WAITING && task.attempt > 0) {
-      task.awaySinceMillis = task.job.firstSeenMillis;
+      task.awaySince = Optional.of(new AwaySince(takeoverMillis, AwaySince.Source.TAKEOVER));
     }
   }
 
@@ -35,16 +45,16 @@
     }
     boolean mayHaveRun = task.confirmedMillis > 0 || task.restored;
     if (mayHaveRun) {
-      task.awaySinceMillis = nowMillis;
+      task.awaySince = Optional.of(task.lastKnownRun(takeoverMillis, nowMillis));
     }
     write("long_running.away", task, reason, nowMillis);
   }
 
   /** Records that a worker has confirmed that it runs the current attempt of a task. */
   void recordStart(Task task, long nowMillis) {
-    if (task.awaySinceMillis > 0) {
+    if (task.awaySince.isPresent()) {
       write("long_running.back", task, "", nowMillis);
-      task.awaySinceMillis = 0;
+      task.awaySince = Optional.empty();
     }
   }
 
@@ -62,6 +72,8 @@
         "reason",
         reason,
         "awayMillis",
-        task.awaySinceMillis > 0 ? nowMillis - task.awaySinceMillis : 0);
+        task.awaySince.map(since -> nowMillis - since.millis()).orElse(0L),
+        "since",
+        task.awaySince.map(since -> since.source().name()).orElse(""));
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -380,7 +380,7 @@
 
   private void reset() {
     jobsRestored = false;
-    jobs.reset();
+    jobs.reset(leaseAcquiredMillis);
     fences.reset();
     earlyRows = ImmutableList.of();
     progressWriter.reset();
@@ -390,7 +390,7 @@
     jobFeed.reset();
     announcedJobs.reset();
     relocations.reset();
-    longRunningStateLog.reset();
+    longRunningStateLog.reset(leaseAcquiredMillis);
     adviceTickets.reset();
     quarantine.reset();
     pendingCounts.reset();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -8,6 +8,7 @@
 import org.sassafraslink.api.fleet.StepSpec;
 import org.sassafraslink.api.fleet.TaskId;
 import org.sassafraslink.scheduler.incarnation.StartDoubt;
+import org.sassafraslink.scheduler.relocation.AwaySince;
 
 /**
  * A task of one occurrence of a job, with its current attempt.
@@ -113,10 +114,16 @@
   long endedMillis;
 
   /**
-   * Since when a long-running task that has run before does not run, monotonic ms; 0 if it runs or
-   * has never run. For the log only.
+   * Since when a long-running task that has run before does not run; empty if it runs or has never
+   * run. For the log only.
    */
-  long awaySinceMillis;
+  Optional<AwaySince> awaySince = Optional.empty();
+
+  /**
+   * When the earlier incarnation of the worker last responded, if the attempt was moved from it to
+   * the present one, monotonic ms; 0 if it never did. For the log only.
+   */
+  long heardBeforeMoveMillis;
 
   /** The speed of the task as last reported, in percent of full speed. */
   int speedPercent;
@@ -164,6 +171,20 @@
     return phase.mayBeKnownToWorker() && (phase != TaskPhase.ORDERED || startSent || restored);
   }
 
+  /**
+   * Returns from when its last run counts as ended if its worker runs it no longer.
+   *
+   * @param takeoverMillis when this process acquired the scheduling lease, monotonic ms
+   */
+  AwaySince lastKnownRun(long takeoverMillis, long nowMillis) {
+    if (movedToRestartedWorker) {
+      return AwaySince.ofSilentWorker(heardBeforeMoveMillis, takeoverMillis);
+    }
+    return worker != null && (worker.ended || worker.isSilentOrUnreported())
+        ? AwaySince.ofSilentWorker(worker.heardMillis(), takeoverMillis)
+        : AwaySince.ofRelease(nowMillis);
+  }
+
   /** Returns the members of its gang that have the same attempt, or only itself without a gang. */
   ImmutableList<Task> membersOfAttempt() {
     return step.gang()
@@ -195,6 +216,7 @@
     startSent = false;
     startWithheldMillis = 0;
     movedToRestartedWorker = false;
+    heardBeforeMoveMillis = 0;
     startDoubt = StartDoubt.NONE;
     stopAcceptedMillis = 0;
     nextCommandMillis = 0;
@@ -210,6 +232,7 @@
    * earlier incarnation are ignored from now on.
    */
   void moveToRestartedWorker(Worker restartedWorker) {
+    heardBeforeMoveMillis = Math.max(heardBeforeMoveMillis, worker.heardMillis());
     worker = restartedWorker;
     commandPending = false;
     movedToRestartedWorker = true;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -290,6 +290,11 @@
     return consecutiveCallFailures == 0 && nowMillis - lastResponseMillis < REPORT_VALIDITY_MILLIS;
   }
 
+  /** Returns whether its requests fail, or it has not reported since the takeover or its expiry. */
+  boolean isSilentOrUnreported() {
+    return !hasReported || consecutiveCallFailures > 0;
+  }
+
   /** Returns whether its requests fail and it has last responded before a time. */
   boolean isSilentSince(long millis) {
     return consecutiveCallFailures > 0 && silentSinceMillis() < millis;
@@ -425,7 +430,11 @@
 
   /** Returns when it last responded, or if it never did, was registered, monotonic ms. */
   long silentSinceMillis() {
-    long heardMillis = Math.max(lastResponseMillis, lastCommandResponseMillis);
-    return heardMillis > 0 ? heardMillis : registeredMillis;
+    return heardMillis() > 0 ? heardMillis() : registeredMillis;
+  }
+
+  /** Returns when it last responded, monotonic ms; 0 if it never did. */
+  long heardMillis() {
+    return Math.max(lastResponseMillis, lastCommandResponseMillis);
   }
 }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/relocation/AwayDiagnosis.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/relocation/AwayDiagnosis.java
@@ -17,7 +17,9 @@
     WAITING,
     ASSIGNED,
     START_SENT,
-    STOPPING
+    STOPPING,
+    /** It was running when its worker was last heard. */
+    UNHEARD
   }
 
   /**
@@ -69,6 +71,7 @@
     return switch (task.progress()) {
       case STOPPING -> AwayReason.STOPPING;
       case ASSIGNED -> AwayReason.UNCOMMITTED;
+      case UNHEARD -> AwayReason.UNREPORTED;
       case START_SENT ->
           task.hasReportingWorker() ? AwayReason.UNANSWERED_START : AwayReason.UNREPORTED;
       case WAITING -> {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningStateLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningStateLogTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.log.EventLog;
@@ -100,7 +101,7 @@
             + "\":1}";
     assertTrue(lines.get(0).endsWith(fields), lines.toString());
     assertEquals(1, stateLog.lastSecond().count());
-    stateLog.reset();
+    stateLog.reset(NOW_MILLIS);
     assertEquals(Absences.NONE, stateLog.lastSecond());
   }
 
@@ -131,9 +132,59 @@
     start(task, 3, NOW_MILLIS);
     assertEquals(3, lines.size(), lines.toString());
     assertTrue(lines.get(0).contains("long_running.away"), lines.toString());
-    assertTrue(lines.get(0).endsWith("\"reason\":\"worker_gone\",\"awayMillis\":0}"));
-    assertTrue(lines.get(1).endsWith("\"reason\":\"no_room\",\"awayMillis\":1000}"));
+    assertTrue(
+        lines
+            .get(0)
+            .endsWith("\"reason\":\"worker_gone\",\"awayMillis\":0,\"since\":\"RELEASE\"}"));
+    assertTrue(
+        lines.get(1).endsWith("\"reason\":\"no_room\",\"awayMillis\":1000,\"since\":\"RELEASE\"}"));
     assertTrue(lines.get(2).contains("long_running.back"), lines.toString());
-    assertTrue(lines.get(2).endsWith("\"worker\":\"w0\",\"reason\":\"\",\"awayMillis\":1500}"));
+    assertTrue(
+        lines
+            .get(2)
+            .endsWith(
+                "\"worker\":\"w0\",\"reason\":\"\",\"awayMillis\":1500,\"since\":\"RELEASE\"}"));
+  }
+
+  // The new incarnation answers, but the run ended with the earlier one.
+  @Test
+  void absenceCountsFromReleaseOfRestartedWorker() {
+    Job job = TestJobs.jobAcceptedAt(0, TestJobs.step(1, 1_000, 500, StepKind.LONG_RUNNING, 0));
+    Task task = TestJobs.firstTask(job);
+    start(task, 1, RESET_MILLIS);
+    worker.lastResponseMillis = NOW_MILLIS - 1_200;
+    Worker restarted = TestWorkers.restarted(worker);
+    restarted.lastResponseMillis = NOW_MILLIS;
+    worker.remove(task);
+    task.moveToRestartedWorker(restarted);
+    taskLog.recordRelease(task, TaskPhase.WAITING, "not_reported", NOW_MILLIS);
+    assertTrue(lines.get(0).endsWith("\"awayMillis\":1200,\"since\":\"HEARD\"}"), lines.toString());
+  }
+
+  // A run ends with its worker, not with the end of the lease after which it is released.
+  @ParameterizedTest
+  @CsvSource({"10500, HEARD, 1500", "0, TAKEOVER, 2000"})
+  void absenceCountsFromReleaseOfSilentWorker(long heardMillis, String source, long awayMillis) {
+    Job job = TestJobs.jobAcceptedAt(0, TestJobs.step(1, 1_000, 500, StepKind.LONG_RUNNING, 0));
+    Task task = TestJobs.firstTask(job);
+    taskLog.reset(RESET_MILLIS);
+    stateLog.reset(RESET_MILLIS);
+    stateLog.writeIfDue(List.of(), RESET_MILLIS, RESET_MILLIS);
+    start(task, 1, RESET_MILLIS);
+    worker.lastResponseMillis = heardMillis;
+    worker.consecutiveCallFailures = 1;
+    stateLog.writeIfDue(List.of(job), NOW_MILLIS, NOW_MILLIS);
+    assertTrue(
+        lines
+            .get(0)
+            .endsWith(
+                "\"away\":1,\"longestMillis\":"
+                    + awayMillis
+                    + ",\"withoutPlace\":0,\"unreported\":1}"),
+        lines.toString());
+    taskLog.recordRelease(task, TaskPhase.WAITING, "lease_expired", NOW_MILLIS);
+    assertTrue(
+        lines.get(1).endsWith("\"awayMillis\":" + awayMillis + ",\"since\":\"" + source + "\"}"),
+        lines.toString());
   }
 }
