Log and metrics: which bound a silent worker is waited for, and for how long

Cause: worker.lease_expired said UNKNOWN both for leases of the incarnation and for those of commands to earlier incarnations, and not from when either counts. Nothing showed for how long a new scheduler waits for silent workers.

Change: lastBound is UNKNOWN_OWN or UNKNOWN_INHERITED, with both ends and the time from which they count, passed to the log as UnknownLeases. lease.acquired says how old the last renewal is, scheduler.active how many workers with tasks are silent and the longest waits. Two gauges count silent workers with tasks and the longest remaining wait. The bounds themselves are unchanged.

WorkerLeaseTest checks both kinds in place of UNKNOWN.

--- a/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
+++ b/entry/src/main/java/org/sassafraslink/entry/process/EntryNode.java
@@ -136,6 +136,7 @@
     ConfigGauges.register(metrics, configWatcher, clock);
     SchedulerLoadGauges.register(metrics, scheduler.load()::lastSecond);
     LongRunningGauges.register(metrics, scheduler::longRunningAbsences);
+    SilentWorkerGauges.register(metrics, scheduler::silentWorkers);
     metrics.registerGauge(
         "sassafraslink_requests_in_flight",
         "Requests of callers that have no answer yet",
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -13,6 +13,7 @@
 import org.sassafraslink.api.fleet.WorkerClient;
 import org.sassafraslink.api.fleet.WorkerReport;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.incarnation.SilentWorkers;
 import org.sassafraslink.scheduler.placement.EvacuatedZones;
 import org.sassafraslink.scheduler.relocation.Absences;
 
@@ -44,6 +45,7 @@
   private final PoolAutoscaler autoscaler;
   private final PoolStateLog poolStateLog;
   private final LongRunningStateLog longRunningStateLog;
+  private final SilentWorkerWatch silentWorkers;
   private final SchedulerLoad load;
   private final PendingJobCounts pendingCounts;
   private final FinishedJobCleaner jobCleaner;
@@ -202,6 +204,7 @@
             quarantine,
             adviceTickets::ticketsFor,
             relocations::tasksWithoutPlace);
+    this.silentWorkers = new SilentWorkerWatch(workers);
     this.pendingCounts = new PendingJobCounts(store, lease);
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
     this.placement =
@@ -275,6 +278,14 @@
     return isScheduling() ? longRunningStateLog.lastSecond() : Absences.NONE;
   }
 
+  /**
+   * Returns the workers with tasks that are waited for, as of the last second; none if this process
+   * does not schedule. May be called on any thread.
+   */
+  public SilentWorkers silentWorkers() {
+    return isScheduling() ? silentWorkers.lastSecond() : SilentWorkers.NONE;
+  }
+
   /** Returns the last known holder of the lease, by node name; empty if there is none. */
   public String holderNode() {
     return lease.holderNode();
@@ -331,6 +342,7 @@
     jobCleaner.cleanIfDue(now);
     poolStateLog.writeIfDue(jobs.all(), placement.backlog(), now, clock.wallMillis());
     longRunningStateLog.writeIfDue(jobs.all(), now, clock.wallMillis());
+    silentWorkers.countIfDue(now);
   }
 
   private void restoreJobsIfLoaded() {
@@ -352,6 +364,7 @@
     maintenance.onJobsRestored(clock.monotonicMillis());
     pendingCounts.onJobsRestored(clock.monotonicMillis());
     maintenance.addWaves(waves);
+    SilentWorkers silent = silentWorkers.count(clock.monotonicMillis());
     log.log(
         "scheduler.active",
         "epoch",
@@ -362,6 +375,14 @@
         jobs.all().stream().filter(job -> !job.startAccepted && job.hasUncheckedStart()).count(),
         "workers",
         workers.all().size(),
+        "silentWorkers",
+        silent.count(),
+        "ownLeaseLeft",
+        silent.longestOwnMillis(),
+        "inheritedLeaseLeft",
+        silent.longestInheritedMillis(),
+        "leaseLeft",
+        silent.longestMillis(),
         "millis",
         clock.monotonicMillis() - leaseAcquiredMillis);
   }
@@ -391,6 +412,7 @@
     announcedJobs.reset();
     relocations.reset();
     longRunningStateLog.reset(leaseAcquiredMillis);
+    silentWorkers.reset();
     adviceTickets.reset();
     quarantine.reset();
     pendingCounts.reset();
@@ -539,7 +561,8 @@
         // One that has not responded to this scheduler counts as silent since the takeover at
         // least.
         long silentSinceMillis = Math.max(leaseAcquiredMillis, worker.silentSinceMillis());
-        leaseLog.logExpired(worker, released, silentSinceMillis, nowMillis);
+        leaseLog.logExpired(
+            worker, released, workers.unknownLeasesOf(worker.entry), silentSinceMillis, nowMillis);
       }
     }
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -269,6 +269,7 @@
                 new Put(HOLDER_KEY, newHolder.encode()), new Put(RENEWAL_KEY, nextRenewalValue())),
             ImmutableList.of());
     long predecessorEndMillis = observation().authorityEndMillis(nowMillis);
+    long seenRenewalMillis = renewalChangedMillis;
     takeoverPending = true;
     callPending = false;
     generation++;
@@ -290,7 +291,9 @@
                 "epoch",
                 newHolder.epoch(),
                 "predecessorMillis",
-                predecessorEndMillis - nowMillis);
+                predecessorEndMillis - nowMillis,
+                "renewalAge",
+                seenRenewalMillis > 0 ? nowMillis - seenRenewalMillis : -1);
             watch.setHolding(true);
             listener.onAcquired(newHolder.epoch(), predecessorEndMillis);
           } else {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
@@ -33,8 +33,10 @@
     GRANTED,
     /** Granted by commands to earlier incarnations. */
     INHERITED,
-    /** Granted by earlier schedulers, with an end that is unknown on the worker's clock. */
-    UNKNOWN
+    /** Granted to this incarnation by earlier schedulers; the end on its clock is unknown. */
+    UNKNOWN_OWN,
+    /** Granted by commands of earlier schedulers to earlier incarnations, as above. */
+    UNKNOWN_INHERITED
   }
 
   /**
@@ -154,10 +156,17 @@
             .orElse(unknownLeasesEndMillis));
   }
 
-  /** Returns which leases expire last. */
-  Bound lastBound() {
+  /**
+   * Returns which leases expire last.
+   *
+   * @param unknownOwnEndMillis when the leases have expired that earlier schedulers granted to this
+   *     incarnation, monotonic ms
+   */
+  Bound lastBound(long unknownOwnEndMillis) {
     if (latestExpiryMillis() == unknownLeasesEndMillis) {
-      return Bound.UNKNOWN;
+      return unknownLeasesEndMillis > unknownOwnEndMillis
+          ? Bound.UNKNOWN_INHERITED
+          : Bound.UNKNOWN_OWN;
     }
     return onWorkerClock.map(known -> known.inheritedEndMillis > known.endMillis).orElse(false)
         ? Bound.INHERITED
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseLog.java
@@ -7,6 +7,7 @@
 import org.sassafraslink.api.fleet.WorkerReport;
 import org.sassafraslink.api.log.EventLog;
 import org.sassafraslink.scheduler.WorkerLease.OnWorkerClock;
+import org.sassafraslink.scheduler.incarnation.UnknownLeases;
 
 /**
  * Logs the clock and the leases of a worker's incarnation whenever a decision may rest on them, so
@@ -66,10 +67,12 @@
    * Logs that every lease of an incarnation has expired and that tasks were released. The others
    * are in doubt: a later incarnation may run them.
    *
+   * @param unknown the ends of the leases that earlier schedulers granted
    * @param silentSinceMillis when it last responded, or since when a response has been expected,
    *     monotonic ms
    */
-  void logExpired(Worker worker, int released, long silentSinceMillis, long nowMillis) {
+  void logExpired(
+      Worker worker, int released, UnknownLeases unknown, long silentSinceMillis, long nowMillis) {
     WorkerLease lease = worker.lease();
     Optional<OnWorkerClock> onWorkerClock = lease.onWorkerClock();
     log.log(
@@ -83,7 +86,7 @@
         "inDoubt",
         worker.tasks().size(),
         "lastBound",
-        lease.lastBound(),
+        lease.lastBound(unknown.ownEndMillis()),
         "leaseEnd",
         onWorkerClock.map(OnWorkerClock::endMillis).orElse(UNKNOWN_MILLIS),
         "inheritedLeaseEnd",
@@ -94,6 +97,12 @@
         onWorkerClock.map(known -> nowMillis - known.readMillis()).orElse(UNKNOWN_MILLIS),
         "unknownLeaseEndAgo",
         nowMillis - lease.unknownLeasesEndMillis(),
+        "unknownOwnEndAgo",
+        nowMillis - unknown.ownEndMillis(),
+        "unknownInheritedEndAgo",
+        nowMillis - unknown.inheritedEndMillis(),
+        "unknownCountedFromAgo",
+        nowMillis - unknown.countedFromMillis(),
         "silentMillis",
         nowMillis - silentSinceMillis);
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -20,6 +20,7 @@
 import org.sassafraslink.scheduler.incarnation.FormerIncarnations;
 import org.sassafraslink.scheduler.incarnation.LateCommandBounds;
 import org.sassafraslink.scheduler.incarnation.StartDoubt;
+import org.sassafraslink.scheduler.incarnation.UnknownLeases;
 
 /**
  * Holds the workers that may run tasks: those in the platform's worker list, and incarnations that
@@ -287,13 +288,20 @@
    * known only by the time at which these schedulers ended.
    */
   private Worker createWorker(WorkerEntry entry) {
+    return new Worker(entry, unknownLeasesOf(entry).endMillis());
+  }
+
+  /** Returns when the leases have expired that earlier schedulers granted an incarnation. */
+  UnknownLeases unknownLeasesOf(WorkerEntry entry) {
     long ageMillis = clock.wallMillis() - entry.incarnation();
     long sincePredecessorMillis = clock.monotonicMillis() - predecessorEndMillis;
     long inheritedLeaseMillis =
         LateCommandBounds.longestTrueMillis(
             lateCommands.inheritedLeaseMillis(ageMillis - sincePredecessorMillis));
-    return new Worker(
-        entry, predecessorEndMillis + Math.max(longestOwnLeaseMillis, inheritedLeaseMillis));
+    return new UnknownLeases(
+        predecessorEndMillis,
+        predecessorEndMillis + longestOwnLeaseMillis,
+        predecessorEndMillis + inheritedLeaseMillis);
   }
 
   /** Creates a worker whose kind is unknown until its own entry is read. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseLogTest.java
@@ -28,6 +28,9 @@
   /** The duration to which workers shorten leases, whose clocks may be 2 percent slow, in ms. */
   private static final long LONGEST_LEASE_MILLIS = (long) (10_000 * 1.04) + 300;
 
+  /** The scheduling lease with its margin, in ms: a holder is not replaced later. */
+  private static final long MAX_RENEWAL_AGE_MILLIS = SchedulerLease.LEASE_MILLIS + 300 + 1_000;
+
   private final List<Event> events = new ArrayList<>();
   private SimFleet fleet;
 
@@ -121,10 +124,27 @@
   void expiryRestsOnLeasesOfUnknownEnd() {
     startTasks();
     fleet.crashWorker(WORKER);
+    events.clear();
     fleet.startNode("n0");
     fleet.runFor(20_000);
     Event expired = onlyEvent("worker.lease_expired");
-    assertEquals(WorkerLease.Bound.UNKNOWN, expired.fields().get("lastBound"));
+    // It is so young that commands to an earlier incarnation could have granted the longer leases.
+    assertEquals(WorkerLease.Bound.UNKNOWN_INHERITED, expired.fields().get("lastBound"));
+    assertEquals(expired.number("unknownLeaseEndAgo"), expired.number("unknownInheritedEndAgo"));
+    assertEquals(
+        LONGEST_LEASE_MILLIS,
+        expired.number("unknownCountedFromAgo") - expired.number("unknownInheritedEndAgo"));
+    assertEquals(
+        LEASE_MILLIS * 104 / 100 + 300,
+        expired.number("unknownCountedFromAgo") - expired.number("unknownOwnEndAgo"));
+    assertBetween(0, MAX_RENEWAL_AGE_MILLIS, onlyEvent("lease.acquired").number("renewalAge"));
+    Event active = onlyEvent("scheduler.active");
+    assertEquals(1, active.number("silentWorkers"));
+    assertBetween(1, LONGEST_LEASE_MILLIS, active.number("inheritedLeaseLeft"));
+    assertBetween(1, LEASE_MILLIS * 104 / 100 + 300, active.number("ownLeaseLeft"));
+    assertEquals(
+        Math.max(active.number("inheritedLeaseLeft"), active.number("ownLeaseLeft")),
+        active.number("leaseLeft"));
     assertEquals(-1, expired.number("clock"));
     assertEquals(-1, expired.number("leaseEnd"));
     assertBetween(1, 20, expired.number("unknownLeaseEndAgo"));
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseTest.java
@@ -119,7 +119,11 @@
     assertTrue(lease.isExpired(lease.latestExpiryMillis() + 1));
     assertEquals(
         lease.latestExpiryMillis() == NOW_MILLIS + unknownLeaseMillis,
-        lease.lastBound() == WorkerLease.Bound.UNKNOWN);
+        lease.lastBound(NOW_MILLIS + unknownLeaseMillis) == WorkerLease.Bound.UNKNOWN_OWN);
+    assertEquals(
+        lease.latestExpiryMillis() == NOW_MILLIS + unknownLeaseMillis,
+        lease.lastBound(NOW_MILLIS + unknownLeaseMillis - 1)
+            == WorkerLease.Bound.UNKNOWN_INHERITED);
   }
 
   /** Guards against taking a late or an early response of an incarnation for one of another. */
