--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -13,6 +13,7 @@
 import org.sassafraslink.api.fleet.WorkerClient;
 import org.sassafraslink.api.fleet.WorkerReport;
 import org.sassafraslink.api.log.EventLog;
+import org.sassafraslink.scheduler.incarnation.SilentWorkers;
 import org.sassafraslink.scheduler.placement.EvacuatedZones;
 import org.sassafraslink.scheduler.relocation.Absences;
 
@@ -44,6 +45,7 @@
   private final PoolAutoscaler autoscaler;
   private final PoolStateLog poolStateLog;
   private final LongRunningStateLog longRunningStateLog;
+  private final SilentWorkerWatch silentWorkers;
   private final SchedulerLoad load;
   private final PendingJobCounts pendingCounts;
   private final FinishedJobCleaner jobCleaner;
@@ -205,6 +207,7 @@
             quarantine,
             adviceTickets::ticketsFor,
             relocations::tasksWithoutPlace);
+    this.silentWorkers = new SilentWorkerWatch(workers);
     this.pendingCounts = new PendingJobCounts(store, lease);
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
     this.placement =
@@ -278,6 +281,14 @@
     return isScheduling() ? longRunningStateLog.lastSecond() : Absences.NONE;
   }
 
+  /**
+   * Returns the workers with tasks that are waited for, as of the last second; none if this process
+   * does not schedule. May be called on any thread.
+   */
+  public SilentWorkers silentWorkers() {
+    return isScheduling() ? silentWorkers.lastSecond() : SilentWorkers.NONE;
+  }
+
   /** Returns the last known holder of the lease, by node name; empty if there is none. */
   public String holderNode() {
     return lease.holderNode();
@@ -334,6 +345,7 @@
     jobCleaner.cleanIfDue(now);
     poolStateLog.writeIfDue(jobs.all(), placement.backlog(), now, clock.wallMillis());
     longRunningStateLog.writeIfDue(jobs.all(), now, clock.wallMillis());
+    silentWorkers.countIfDue(now);
   }
 
   private void restoreJobsIfLoaded() {
@@ -355,6 +367,7 @@
     maintenance.onJobsRestored(clock.monotonicMillis());
     pendingCounts.onJobsRestored(clock.monotonicMillis());
     maintenance.addWaves(waves);
+    SilentWorkers silent = silentWorkers.count(clock.monotonicMillis());
     log.log(
         "scheduler.active",
         "epoch",
@@ -365,6 +378,14 @@
         jobs.all().stream().filter(job -> !job.startAccepted && job.hasUncheckedStart()).count(),
         "workers",
         workers.all().size(),
+        "silentWorkers",
+        silent.count(),
+        "ownLeaseLeft",
+        silent.longestOwnMillis(),
+        "inheritedLeaseLeft",
+        silent.longestInheritedMillis(),
+        "leaseLeft",
+        silent.longestMillis(),
         "millis",
         clock.monotonicMillis() - leaseAcquiredMillis);
   }
@@ -383,7 +404,7 @@
 
   private void reset() {
     jobsRestored = false;
-    jobs.reset();
+    jobs.reset(leaseAcquiredMillis);
     fences.reset();
     earlyRows = ImmutableList.of();
     progressWriter.reset();
@@ -393,7 +414,8 @@
     jobFeed.reset();
     announcedJobs.reset();
     relocations.reset();
-    longRunningStateLog.reset();
+    longRunningStateLog.reset(leaseAcquiredMillis);
+    silentWorkers.reset();
     adviceTickets.reset();
     quarantine.reset();
     pendingCounts.reset();
@@ -542,7 +564,8 @@
         // One that has not responded to this scheduler counts as silent since the takeover at
         // least.
         long silentSinceMillis = Math.max(leaseAcquiredMillis, worker.silentSinceMillis());
-        leaseLog.logExpired(worker, released, silentSinceMillis, nowMillis);
+        leaseLog.logExpired(
+            worker, released, workers.unknownLeasesOf(worker), silentSinceMillis, nowMillis);
       }
     }
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SchedulerLease.java
@@ -313,7 +313,7 @@
                 newHolder.epoch(),
                 "predecessorMillis",
                 predecessorEndMillis - nowMillis,
-                "predecessorGrantAgo",
+                "renewalAge",
                 nowMillis - predecessorGrantMillis);
             watch.setHolding(true);
             listener.onAcquired(newHolder.epoch(), predecessorEndMillis, predecessorGrantMillis);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
@@ -38,9 +38,9 @@
     GRANTED,
     /** Granted by commands to earlier incarnations. */
     INHERITED,
-    /** Granted by earlier schedulers, with an end that is unknown on the worker's clock. */
-    UNKNOWN,
-    /** Granted by commands to earlier incarnations, with an end unknown on the worker's clock. */
+    /** Granted to this incarnation by earlier schedulers; the end on its clock is unknown. */
+    UNKNOWN_OWN,
+    /** Granted by commands of earlier schedulers to earlier incarnations, as above. */
     UNKNOWN_INHERITED
   }
 
@@ -171,12 +171,17 @@
   /** Returns the last time at which a lease may not have expired, monotonic ms. */
   long latestExpiryMillis() {
     return Math.max(
-        Math.max(unknownLeasesEndMillis, unknownInheritedEndMillis),
+        latestUnknownExpiryMillis(),
         onWorkerClock
             .map(known -> known.expiryMillis(Math.max(known.endMillis, known.inheritedEndMillis)))
             .orElse(unknownLeasesEndMillis));
   }
 
+  /** Returns the last time at which a lease of unknown end may not have expired, monotonic ms. */
+  long latestUnknownExpiryMillis() {
+    return Math.max(unknownLeasesEndMillis, unknownInheritedEndMillis);
+  }
+
   /**
    * Returns the last time at which a lease from a command to an earlier incarnation may not have
    * expired, monotonic ms.
@@ -193,7 +198,7 @@
   Bound lastBound() {
     long latestExpiryMillis = latestExpiryMillis();
     if (latestExpiryMillis == unknownLeasesEndMillis) {
-      return Bound.UNKNOWN;
+      return Bound.UNKNOWN_OWN;
     }
     if (latestExpiryMillis == unknownInheritedEndMillis) {
       return Bound.UNKNOWN_INHERITED;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -20,6 +20,7 @@
 import org.sassafraslink.scheduler.incarnation.FormerIncarnations;
 import org.sassafraslink.scheduler.incarnation.LateCommandBounds;
 import org.sassafraslink.scheduler.incarnation.StartDoubt;
+import org.sassafraslink.scheduler.incarnation.UnknownLeases;
 
 /**
  * Holds the workers that may run tasks: those in the platform's worker list, and incarnations that
@@ -62,8 +63,11 @@
   /** When the scheduler before this one sends no more commands, monotonic ms. */
   private long predecessorEndMillis;
 
-  /** When all leases have expired that earlier schedulers granted to workers, monotonic ms. */
-  private long earlierLeasesEndMillis;
+  /**
+   * From when on the last leases last that earlier schedulers can have granted to workers,
+   * monotonic ms.
+   */
+  private long predecessorGrantMillis;
 
   /** The number of registrations of incarnations in this epoch. */
   private long registrations;
@@ -133,7 +137,7 @@
     detachedWorkers.clear();
     index = null;
     this.predecessorEndMillis = predecessorEndMillis;
-    earlierLeasesEndMillis = predecessorGrantMillis + longestOwnLeaseMillis;
+    this.predecessorGrantMillis = predecessorGrantMillis;
     registrations = 0;
     formerIncarnations.clear();
   }
@@ -301,7 +305,16 @@
     long inheritedEndMillis =
         predecessorEndMillis + LateCommandBounds.longestTrueMillis(inheritedLeaseMillis);
     return new Worker(
-        entry, earlierLeasesEndMillis, inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
+        entry,
+        predecessorGrantMillis + longestOwnLeaseMillis,
+        inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
+  }
+
+  /** Returns until when a silent worker may hold leases that earlier schedulers granted. */
+  UnknownLeases unknownLeasesOf(Worker worker) {
+    WorkerLease lease = worker.lease();
+    return new UnknownLeases(
+        predecessorGrantMillis, lease.unknownLeasesEndMillis(), lease.unknownInheritedEndMillis());
   }
 
   /** Creates a worker whose kind is unknown until its own entry is read. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseTest.java
@@ -121,7 +121,7 @@
     assertTrue(lease.isExpired(lease.latestExpiryMillis() + 1));
     assertEquals(
         lease.latestExpiryMillis() == NOW_MILLIS + unknownLeaseMillis,
-        lease.lastBound() == WorkerLease.Bound.UNKNOWN);
+        lease.lastBound() == WorkerLease.Bound.UNKNOWN_OWN);
     assertEquals(
         lease.latestExpiryMillis() == unknownInheritedEndMillis
             && unknownInheritedMillis > unknownLeaseMillis,
