The end of a silent worker's leases outlasts a takeover

Cause: a successor assumes for each worker that does not answer the longest lease that its predecessor can have granted up to its own end. What the predecessor knew of a worker that had been silent for seconds was lost, so each takeover, also a graceful one, began the wait anew.

Change: a scheduler records in a row of the store when all leases of a worker end that has tasks and whose report requests fail, and grants no longer lease to any incarnation of that worker until a committed write lacks the entry (RecordedLeaseEnds decides, WorkerLeaseRecorder reads and writes). A successor of the next epoch reads the row before it restores the jobs, limits its bounds by it, and carries it on under its own epoch. A worker that answers is removed first, and then renewed at once. Nothing is written while all workers answer.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -29,6 +29,7 @@
   private final JobRegistry jobs;
   private final SchedulerLease lease;
   private final DecisionFences fences;
+  private final WorkerLeaseRecorder leaseRecorder;
   private final WorkerRegistry workers;
   private final JobFeed jobFeed;
   private final AnnouncedJobs announcedJobs;
@@ -86,6 +87,7 @@
     this.lease =
         new SchedulerLease(tracked, clock, log, settings, holderWatch, new LeaseListener());
     this.fences = new DecisionFences(tracked, clock, log, lease, settings.process());
+    this.leaseRecorder = new WorkerLeaseRecorder(tracked, clock, log, lease, this::renewLeaseOf);
     this.workers =
         new WorkerRegistry(
             tracked,
@@ -94,6 +96,7 @@
             formats,
             settings.longestOwnLeaseMillis(),
             settings.lateCommandBounds(),
+            leaseRecorder::withholds,
             new WorkerListener());
     this.jobCleaner =
         new FinishedJobCleaner(tracked, clock, lease, fences, settings.finalStateRetentionMillis());
@@ -297,8 +300,9 @@
       return;
     }
     workers.pollIfDue(now, vmMover.hasOverdueMove(now));
-    // Its row is guarded by the lease itself, so it needs no fence.
+    // Their rows are guarded by the lease itself, so they need no fence.
     commandLog.readOrWriteIfDue(now);
+    leaseRecorder.readOrWriteIfDue(workers, now);
     fences.writeIfDue(now);
     // Until then a predecessor may still change the rows of jobs.
     if (!fences.areWritten()) {
@@ -336,6 +340,7 @@
   private void restoreJobsIfLoaded() {
     if (!jobFeed.isLoaded()
         || !workers.isLoaded()
+        || !leaseRecorder.isLoaded()
         || !config.hasSettings()
         || !evacuations.areKnown()) {
       return;
@@ -349,6 +354,7 @@
     jobs.requestPlacement();
     jobs.restore(earlyRows);
     earlyRows = ImmutableList.of();
+    leaseRecorder.onJobsRestored(workers);
     maintenance.onJobsRestored(clock.monotonicMillis());
     pendingCounts.onJobsRestored(clock.monotonicMillis());
     maintenance.addWaves(waves);
@@ -387,6 +393,7 @@
     commandSender.reset();
     evacuations.reset();
     leaseRenewer.reset();
+    leaseRecorder.reset();
     jobFeed.reset();
     announcedJobs.reset();
     relocations.reset();
@@ -544,6 +551,13 @@
     }
   }
 
+  /** Renews the lease of a worker at once, since none was granted for some time. */
+  private void renewLeaseOf(String workerId) {
+    workers
+        .findById(workerId)
+        .ifPresent(worker -> leaseRenewer.renewNow(worker, clock.monotonicMillis()));
+  }
+
   private void handleFencing(Worker worker) {
     log.log("worker.fenced_us", "worker", worker.entry.id(), "epoch", lease.epoch());
     lease.onFenced();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/StoreTime.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/StoreTime.java
@@ -23,6 +23,18 @@
     return storeMillis + nowMillis - receivedMillis;
   }
 
+  /**
+   * Returns a time that the store's clock has not passed before {@code millis}, monotonic ms.
+   *
+   * @param nowWallMillis Unix ms; the wall clock also counts the time for which the monotonic clock
+   *     has stopped since the reading
+   */
+  long notPassedBefore(long millis, long nowMillis, long nowWallMillis) {
+    long sinceSentMillis = Math.max(nowMillis - sentMillis, nowWallMillis - sentWallMillis);
+    double elapsedMillis = (sinceSentMillis + millis - nowMillis) * (1 + MAX_RATE_DIFFERENCE);
+    return storeMillis + Math.max(0, (long) Math.ceil(elapsedMillis));
+  }
+
   /** Returns the monotonic time until which the store's clock is certainly before a time. */
   long certainlyBeforeUntilMillis(long untilStoreMillis) {
     return sentMillis + minElapsedMillis(untilStoreMillis);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.StepSpec;
@@ -53,6 +54,15 @@
   /** Whether it may have executed a command to an earlier incarnation. */
   boolean mayHaveInheritedLease = true;
 
+  /**
+   * Whether this scheduler knew of another incarnation of the worker when it first knew of this
+   * one.
+   */
+  boolean followsKnownIncarnation;
+
+  /** Whether the row of a job names a later incarnation of the worker. */
+  boolean namedInLaterIncarnation;
+
   /** Whether a response has shown that a later incarnation of the worker runs. */
   boolean laterIncarnationSeen;
 
@@ -133,6 +143,9 @@
 
   private WorkerLease lease;
 
+  /** Whether it gets no lease beyond those it has; see {@link WorkerLeaseRecorder}. */
+  private BooleanSupplier leaseWithheld = () -> false;
+
   private ReplacementSuspicion replacementSuspicion = ReplacementSuspicion.NONE;
 
   /** When a replacement was last suspected, monotonic ms. */
@@ -248,15 +261,18 @@
    * Returns the lease end to send for a lease of {@code leaseMillis}, in ms on the worker's clock,
    * and records it as granted. Returns empty before the worker has reported its clock.
    *
-   * <p>If the last request failed, this is the lease end granted before. Each request to a worker
-   * that does not respond may still arrive, so if each extended the lease, the lease could never be
-   * known to have expired.
+   * <p>If the last request failed, or leases are withheld, this is the lease end granted before.
+   * Each request to a worker that does not respond may still arrive, so if each extended the lease,
+   * the lease could never be known to have expired.
    */
   Optional<Long> grantLease(long leaseMillis, long nowMillis) {
     lastLeaseSentMillis = nowMillis;
     if (consecutiveCallFailures > 0) {
       return lease.longestEnd();
     }
+    if (leaseWithheld.getAsBoolean()) {
+      return lease.longestEnd().filter(end -> end > 0);
+    }
     Optional<Long> endMillis = lease.endOf(leaseMillis, nowMillis);
     endMillis.ifPresent(end -> lease = lease.grantUntil(end));
     return endMillis;
@@ -419,6 +435,16 @@
     lease = lease.withUnknownLeasesUntil(millis);
   }
 
+  /** Applies that the leases which earlier schedulers granted have expired at a time. */
+  void limitUnknownLeases(long endMillis) {
+    lease = lease.limitUnknownLeases(endMillis);
+  }
+
+  /** Grants no lease beyond those it has while the condition holds. */
+  void withholdLeaseWhile(BooleanSupplier condition) {
+    leaseWithheld = condition;
+  }
+
   WorkerLease lease() {
     return lease;
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
@@ -139,6 +139,11 @@
     return new WorkerLease(Math.max(unknownLeasesEndMillis, endMillis), onWorkerClock);
   }
 
+  /** Returns these leases given that those of unknown end have expired at {@code endMillis}. */
+  WorkerLease limitUnknownLeases(long endMillis) {
+    return new WorkerLease(Math.min(unknownLeasesEndMillis, endMillis), onWorkerClock);
+  }
+
   /** Returns whether every lease has expired. */
   boolean isExpired(long nowMillis) {
     return nowMillis > unknownLeasesEndMillis
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.RowStore;
@@ -40,6 +41,7 @@
   private final WorkerListFeed listFeed;
   private final long longestOwnLeaseMillis;
   private final LateCommandBounds lateCommands;
+  private final Predicate<String> leaseWithheld;
   private final Listener listener;
 
   /** Workers that are listed, or that were listed and may still run tasks. */
@@ -82,6 +84,7 @@
    *
    * @param longestOwnLeaseMillis how long after a command to an incarnation a lease that it granted
    *     to this incarnation may last, in true time
+   * @param leaseWithheld whether a worker, by its id, gets no lease beyond those it has
    */
   WorkerRegistry(
       RowStore store,
@@ -90,9 +93,11 @@
       RowFormats formats,
       long longestOwnLeaseMillis,
       LateCommandBounds lateCommands,
+      Predicate<String> leaseWithheld,
       Listener listener) {
     this.longestOwnLeaseMillis = longestOwnLeaseMillis;
     this.lateCommands = lateCommands;
+    this.leaseWithheld = leaseWithheld;
     this.formerIncarnations = FormerIncarnations.create(lateCommands);
     this.clock = clock;
     this.log = log;
@@ -175,6 +180,7 @@
   Worker findOrAddFromJobRow(String id, long incarnation) {
     Worker registered = workersById.get(id);
     if (registered != null) {
+      registered.namedInLaterIncarnation |= incarnation > registered.entry.incarnation();
       return registered;
     }
     for (Worker worker : detachedWorkers) {
@@ -292,8 +298,30 @@
     long inheritedLeaseMillis =
         LateCommandBounds.longestTrueMillis(
             lateCommands.inheritedLeaseMillis(ageMillis - sincePredecessorMillis));
-    return new Worker(
-        entry, predecessorEndMillis + Math.max(longestOwnLeaseMillis, inheritedLeaseMillis));
+    Worker worker =
+        new Worker(
+            entry, predecessorEndMillis + Math.max(longestOwnLeaseMillis, inheritedLeaseMillis));
+    worker.followsKnownIncarnation = hasKnownIncarnation(entry.id(), clock.monotonicMillis());
+    worker.withholdLeaseWhile(() -> leaseWithheld.test(entry.id()));
+    return worker;
+  }
+
+  /**
+   * Returns whether the end of a worker's leases, as known here, bounds each lease that any
+   * incarnation with its id may hold. Commands to another incarnation may still grant one unless
+   * this one has reported, which closes the matter.
+   */
+  boolean isLeaseEndCertain(Worker worker) {
+    String id = worker.entry.id();
+    boolean isOnlyOne =
+        findById(id).map(registered -> registered == worker).orElse(true)
+            && detachedWorkers.stream()
+                .allMatch(other -> other == worker || !other.entry.id().equals(id));
+    boolean hasReported = worker.lease().onWorkerClock().isPresent();
+    return isOnlyOne
+        && !worker.laterIncarnationSeen
+        && !worker.namedInLaterIncarnation
+        && (hasReported || !worker.followsKnownIncarnation);
   }
 
   /** Creates a worker whose kind is unknown until its own entry is read. */
@@ -305,10 +333,14 @@
 
   /** Returns whether a command to an earlier incarnation may have an effect in a new one. */
   private boolean mayHaveFormerIncarnation(String id, long nowMillis) {
+    return hasKnownIncarnation(id, nowMillis)
+        || nowMillis <= lateCommands.lateRunEndMillis(predecessorEndMillis);
+  }
+
+  private boolean hasKnownIncarnation(String id, long nowMillis) {
     return workersById.containsKey(id)
         || detachedWorkers.stream().anyMatch(worker -> worker.entry.id().equals(id))
-        || formerIncarnations.contains(id, nowMillis)
-        || nowMillis <= lateCommands.lateRunEndMillis(predecessorEndMillis);
+        || formerIncarnations.contains(id, nowMillis);
   }
 
   /** Makes an incarnation the one that is registered under its id. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionImportsTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/DecisionImportsTest.java
@@ -28,7 +28,7 @@
               + "|io\\.netty\\..*");
 
   @ParameterizedTest
-  @ValueSource(strings = {"queue", "placement", "capacity", "incarnation"})
+  @ValueSource(strings = {"queue", "placement", "capacity", "incarnation", "workerlease"})
   void importsOnlyValues(String decisionPackage) throws IOException {
     Path folder = SOURCES.resolve(decisionPackage);
     ImmutableList.Builder<String> violations = ImmutableList.builder();
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerRegistryTest.java
@@ -42,6 +42,7 @@
           new Formats(),
           /* longestOwnLeaseMillis= */ 6_000,
           new LateCommandBounds(10_000, 12_000, 8_000),
+          id -> false,
           new IgnoringListener());
 
   private static final class IgnoringListener implements WorkerRegistry.Listener {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/FakeRowStore.java
@@ -67,6 +67,9 @@
   /** When all transactions sent so far to a partition will have been applied, by partition. */
   private final Map<String, Long> busyUntilMillisByPartition = new HashMap<>();
 
+  /** How many transactions have written to each table. */
+  private final Map<String, Integer> writesByTable = new HashMap<>();
+
   private long longPollsSilentUntilMillis;
 
   /** How far the store's clock advances in one ms. */
@@ -119,6 +122,11 @@
     delayMillisByTable.put(table, millis);
   }
 
+  /** Returns how many transactions have written to a table. */
+  public int countWrites(String table) {
+    return writesByTable.getOrDefault(table, 0);
+  }
+
   private int delayMillis(RowStore.Transaction transaction) {
     return transaction.puts().stream()
         .mapToInt(put -> delayMillisByTable.getOrDefault(put.key().table(), 0))
@@ -273,6 +281,10 @@
     }
     checkFence(node, transaction);
     lastVersion++;
+    transaction.puts().stream()
+        .map(put -> put.key().table())
+        .distinct()
+        .forEach(table -> writesByTable.merge(table, 1, Integer::sum));
     for (RowStore.Put put : transaction.puts()) {
       storeAndAddToHistory(new RowStore.StoredRow(put.key(), put.value(), lastVersion, false));
     }
