--- a/scheduler/src/main/java/org/sassafraslink/scheduler/InheritedLeaseEnds.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/InheritedLeaseEnds.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 
 /**
  * Converts the time at which the inherited leases of a worker's incarnation have expired to the
@@ -35,12 +36,14 @@
    * Returns the time to store for an incarnation of a worker, in ms of the store's clock; empty if
    * that clock is unknown.
    */
-  OptionalLong toStore(Worker worker, long nowMillis) {
+  OptionalLong toStore(Worker worker, ClockTimes now) {
     long endMillis = worker.lease().latestInheritedExpiryMillis();
-    if (endMillis < nowMillis) {
+    if (endMillis < now.monotonicMillis()) {
       return OptionalLong.of(EXPIRED);
     }
-    return storeTime.get().stream().mapToLong(time -> time.latestAt(endMillis)).findFirst();
+    return storeTime.get().stream()
+        .mapToLong(time -> time.notPassedBefore(endMillis, now.monotonicMillis(), now.wallMillis()))
+        .findFirst();
   }
 
   /**
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
@@ -161,6 +161,14 @@
         unknownLeasesEndMillis, Math.min(unknownInheritedEndMillis, endMillis), onWorkerClock);
   }
 
+  /** Returns these leases, given that those of unknown end have expired at {@code endMillis}. */
+  WorkerLease limitUnknownLeases(long endMillis) {
+    return new WorkerLease(
+        Math.min(unknownLeasesEndMillis, endMillis),
+        Math.min(unknownInheritedEndMillis, endMillis),
+        onWorkerClock);
+  }
+
   /** Returns whether every lease has expired. */
   boolean isExpired(long nowMillis) {
     return nowMillis > unknownLeasesEndMillis
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.RowStore;
@@ -41,6 +42,7 @@
   private final WorkerListFeed listFeed;
   private final long longestOwnLeaseMillis;
   private final LateCommandBounds lateCommands;
+  private final Predicate<String> leaseWithheld;
   private final Listener listener;
 
   /** Workers that are listed, or that were listed and may still run tasks. */
@@ -89,6 +91,7 @@
    *
    * @param longestOwnLeaseMillis how long after a command to an incarnation a lease that it granted
    *     to this incarnation may last, in true time
+   * @param leaseWithheld whether a worker, by its id, gets no lease beyond those it has
    */
   WorkerRegistry(
       RowStore store,
@@ -97,9 +100,11 @@
       RowFormats formats,
       long longestOwnLeaseMillis,
       LateCommandBounds lateCommands,
+      Predicate<String> leaseWithheld,
       Listener listener) {
     this.longestOwnLeaseMillis = longestOwnLeaseMillis;
     this.lateCommands = lateCommands;
+    this.leaseWithheld = leaseWithheld;
     this.formerIncarnations = FormerIncarnations.create(lateCommands);
     this.clock = clock;
     this.log = log;
@@ -185,6 +190,7 @@
   Worker findOrAddFromJobRow(String id, long incarnation) {
     Worker registered = workersById.get(id);
     if (registered != null) {
+      registered.namedInLaterIncarnation |= incarnation > registered.entry.incarnation();
       return registered;
     }
     for (Worker worker : detachedWorkers) {
@@ -304,10 +310,14 @@
         lateCommands.inheritedLeaseMillis(ageMillis - sincePredecessorMillis);
     long inheritedEndMillis =
         predecessorEndMillis + LateCommandBounds.longestTrueMillis(inheritedLeaseMillis);
-    return new Worker(
-        entry,
-        predecessorGrantMillis + longestOwnLeaseMillis,
-        inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
+    Worker worker =
+        new Worker(
+            entry,
+            predecessorGrantMillis + longestOwnLeaseMillis,
+            inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
+    worker.followsKnownIncarnation = hasKnownIncarnation(entry.id(), clock.monotonicMillis());
+    worker.withholdLeaseWhile(() -> leaseWithheld.test(entry.id()));
+    return worker;
   }
 
   /** Returns until when a silent worker may hold leases that earlier schedulers granted. */
@@ -317,6 +327,24 @@
         predecessorGrantMillis, lease.unknownLeasesEndMillis(), lease.unknownInheritedEndMillis());
   }
 
+  /**
+   * Returns whether the end of a worker's leases, as known here, bounds each lease that any
+   * incarnation with its id may hold. Commands to another incarnation may still grant one unless
+   * this one has reported, which closes the matter.
+   */
+  boolean isLeaseEndCertain(Worker worker) {
+    String id = worker.entry.id();
+    boolean isOnlyOne =
+        findById(id).map(registered -> registered == worker).orElse(true)
+            && detachedWorkers.stream()
+                .allMatch(other -> other == worker || !other.entry.id().equals(id));
+    boolean hasReported = worker.lease().onWorkerClock().isPresent();
+    return isOnlyOne
+        && !worker.laterIncarnationSeen
+        && !worker.namedInLaterIncarnation
+        && (hasReported || !worker.followsKnownIncarnation);
+  }
+
   /** Creates a worker whose kind is unknown until its own entry is read. */
   private Worker createWorkerWithoutEntry(WorkerEntry substitute) {
     Worker worker = createWorker(substitute);
@@ -326,10 +354,14 @@
 
   /** Returns whether a command to an earlier incarnation may have an effect in a new one. */
   private boolean mayHaveFormerIncarnation(String id, long nowMillis) {
+    return hasKnownIncarnation(id, nowMillis)
+        || nowMillis <= lateCommands.lateRunEndMillis(predecessorEndMillis);
+  }
+
+  private boolean hasKnownIncarnation(String id, long nowMillis) {
     return workersById.containsKey(id)
         || detachedWorkers.stream().anyMatch(worker -> worker.entry.id().equals(id))
-        || formerIncarnations.contains(id, nowMillis)
-        || nowMillis <= lateCommands.lateRunEndMillis(predecessorEndMillis);
+        || formerIncarnations.contains(id, nowMillis);
   }
 
   /** Makes an incarnation the one that is registered under its id. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/InheritedLeaseEndsTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/InheritedLeaseEndsTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.LongRange;
+import org.sassafraslink.scheduler.cancellation.ClockTimes;
 
 class InheritedLeaseEndsTest {
   private static final long WRITER_MILLIS = 1_000_000;
@@ -23,9 +24,14 @@
     return worker;
   }
 
+  /** Both clocks show the same time here. */
+  private static ClockTimes at(long millis) {
+    return new ClockTimes(millis, millis);
+  }
+
   private static InheritedLeaseEnds endsAt(long storeMillis, long sentMillis, long receivedMillis) {
     return InheritedLeaseEnds.of(
-        () -> Optional.of(new StoreTime(storeMillis, sentMillis, 0, receivedMillis)));
+        () -> Optional.of(new StoreTime(storeMillis, sentMillis, sentMillis, receivedMillis)));
   }
 
   /** Guards against a successor that counts an inherited lease as expired too early. */
@@ -43,7 +49,7 @@
     long readMillis = WRITER_MILLIS - (long) (writerResponseMillis * part);
     long stored =
         endsAt(STORE_MILLIS, WRITER_MILLIS - writerResponseMillis, WRITER_MILLIS)
-            .toStore(worker, WRITER_MILLIS)
+            .toStore(worker, at(WRITER_MILLIS))
             .getAsLong();
     long laterReadMillis = WRITER_MILLIS + takeoverMillis;
     long laterStoreMillis = STORE_MILLIS + (long) ((laterReadMillis - readMillis) * storeRate);
@@ -62,7 +68,7 @@
     InheritedLeaseEnds withoutClock = InheritedLeaseEnds.of(Optional::empty);
     Worker worker = workerWithInheritedLease(0);
     long nowMillis = worker.lease().latestInheritedExpiryMillis() + 1;
-    OptionalLong stored = withoutClock.toStore(worker, nowMillis);
+    OptionalLong stored = withoutClock.toStore(worker, at(nowMillis));
     assertEquals(OptionalLong.of(0), stored);
     assertEquals(
         OptionalLong.of(READER_MILLIS), withoutClock.fromStore(stored.getAsLong(), READER_MILLIS));
@@ -74,7 +80,7 @@
     InheritedLeaseEnds withoutClock = InheritedLeaseEnds.of(Optional::empty);
     assertEquals(
         OptionalLong.empty(),
-        withoutClock.toStore(workerWithInheritedLease(10_000), WRITER_MILLIS));
+        withoutClock.toStore(workerWithInheritedLease(10_000), at(WRITER_MILLIS)));
     assertEquals(OptionalLong.empty(), withoutClock.fromStore(5_000, READER_MILLIS));
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LostWorkerBesideTakeoverTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LostWorkerBesideTakeoverTest.java
@@ -145,7 +145,10 @@
 
   /** Their first report may not have been recorded yet. */
   private static final ImmutableList<History> NEW =
-      ImmutableList.of(afterFirstReport(200), afterFirstReport(1_000), restarted(1_000));
+      ImmutableList.of(afterFirstReport(200), afterFirstReport(1_000));
+
+  /** Commands to the earlier incarnation may have granted it leases just before. */
+  private static final ImmutableList<History> JUST_RESTARTED = ImmutableList.of(restarted(1_000));
 
   /**
    * A worker is lost, and schedulers end.
@@ -188,6 +191,14 @@
     return scenarios(NEW, FAULTS, DELAYS_MILLIS, /* takeovers= */ 1);
   }
 
+  static Stream<Scenario> faultsBesideJustRestartedWorker() {
+    return scenarios(JUST_RESTARTED, FAULTS, DELAYS_MILLIS, /* takeovers= */ 1);
+  }
+
+  static Stream<Scenario> stopsBesideJustRestartedWorker() {
+    return scenarios(JUST_RESTARTED, List.of(End.STOPPED), DELAYS_MILLIS, /* takeovers= */ 1);
+  }
+
   static Stream<Scenario> faultsBesideRestartedWorker() {
     return scenarios(RESTARTED, FAULTS, DELAYS_MILLIS, /* takeovers= */ 1);
   }
@@ -289,6 +300,18 @@
     play(scenario);
   }
 
+  @ParameterizedTest
+  @MethodSource("faultsBesideJustRestartedWorker")
+  void justRestartedWorkerIsLostBesideFault(Scenario scenario) {
+    play(scenario);
+  }
+
+  @ParameterizedTest
+  @MethodSource("stopsBesideJustRestartedWorker")
+  void justRestartedWorkerIsLostBesideGracefulStop(Scenario scenario) {
+    play(scenario);
+  }
+
   @ParameterizedTest
   @MethodSource("faultsBesideRestartedWorker")
   void restartedWorkerIsLostBesideFault(Scenario scenario) {
