Long-running tasks are assigned only to workers that have just answered

Cause: idle workers are not asked for reports, so one that was lost unnoticed counted as room until its entry was deleted. The task of another lost worker was given to it, and its long poll failed only after 1.6 s. Then the lease of the start had to end, on a clock that was last read when the worker was listed: 7.4 s after 51 s of idleness instead of 6.3 s.

Change: before a long-running task is assigned, its worker must have responded within the last 0.5 s, or since it was asked. One that has not is asked at once, without a long poll, and room is held for the task meanwhile; after 0.15 s without an answer the next worker is asked. A worker whose last request failed is asked until it answers: an idle one got no tasks any more after one lost request. Only the response to the last request ends the state "pending", as each request beside a long poll began a further series of polls.

Price: one request for each such start on a worker that has not responded in the last 0.5 s; none in a quiet minute. Gangs are not covered.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningRelocations.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/LongRunningRelocations.java
@@ -287,6 +287,12 @@
     }
   }
 
+  /** Holds room for a waiting task until the next plan. */
+  void hold(Task task, Worker worker) {
+    task.changeDestination(Optional.of(worker));
+    tasksWithDestination.add(task);
+  }
+
   private boolean endsSoon(Task task, long nowMillis) {
     double expectedMillis = durationModel.expectedMillis(task.job.spec.queue(), task.step);
     double elapsedMillis = task.confirmedMillis > 0 ? (double) nowMillis - task.confirmedMillis : 0;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.QueueConfig;
 import org.sassafraslink.api.fleet.Resources;
@@ -34,11 +35,17 @@
   private final Quarantine quarantine;
   private final AdviceTicketCache adviceTickets;
   private final Predicate<Worker> isSurplus;
+  private final BiConsumer<Task, Worker> holdRoom;
   private final EventLog log;
   private final OverloadDeferral overloadDeferral;
   private Backlog backlog = new Backlog();
   private UnplaceableNeeds unplaceableNeeds = new UnplaceableNeeds();
 
+  /**
+   * Creates an instance.
+   *
+   * @param holdRoom keeps room for a long-running task on a worker that is asked for an answer
+   */
   Placement(
       PublishedConfig config,
       WorkerRegistry workers,
@@ -46,6 +53,7 @@
       Quarantine quarantine,
       AdviceTicketCache adviceTickets,
       Predicate<Worker> isSurplus,
+      BiConsumer<Task, Worker> holdRoom,
       EventLog log) {
     this.config = config;
     this.workers = workers;
@@ -54,6 +62,7 @@
     this.quarantine = quarantine;
     this.adviceTickets = adviceTickets;
     this.isSurplus = isSurplus;
+    this.holdRoom = holdRoom;
     this.log = log;
     this.overloadDeferral = new OverloadDeferral(config, durationModel, log);
   }
@@ -232,9 +241,13 @@
         break;
       }
       Optional<Worker> worker =
-          WorkerChoice.chooseWorker(task, eligible)
+          chooseAnsweringFirst(task, eligible, nowMillis)
               .or(() -> lastResortFor(task, candidate.queue(), tickets, nowMillis));
-      if (worker.isPresent()) {
+      if (worker.isPresent() && !worker.get().hasJustAnswered(nowMillis)) {
+        // An idle worker is not asked otherwise, and may have been lost unnoticed.
+        worker.get().wantAnswer(nowMillis);
+        holdRoom.accept(task, worker.get());
+      } else if (worker.isPresent()) {
         assign(task, worker.get(), task.attempt + 1, tickets);
         isAnyPlaced = true;
       } else {
@@ -248,6 +261,15 @@
     return isAnyPlaced;
   }
 
+  /** Chooses a worker, if possible none that was asked for an answer and has not given it. */
+  private static Optional<Worker> chooseAnsweringFirst(
+      Task task, List<Worker> eligible, long nowMillis) {
+    List<Worker> prompt =
+        eligible.stream().filter(worker -> !worker.isLateToAnswer(nowMillis)).toList();
+    return WorkerChoice.chooseWorker(task, prompt)
+        .or(() -> WorkerChoice.chooseWorker(task, eligible));
+  }
+
   /**
    * Returns a quarantined worker for a long-running task that has waited for some time. It may fail
    * there too, but nothing else is done for it meanwhile.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -206,7 +206,14 @@
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
     this.placement =
         new Placement(
-            config, workers, durationModel, quarantine, adviceTickets, autoscaler::isSurplus, log);
+            config,
+            workers,
+            durationModel,
+            quarantine,
+            adviceTickets,
+            autoscaler::isSurplus,
+            relocations::hold,
+            log);
     this.placementRounds = new PlacementRounds(clock, jobs, placement, progressWriter, load);
   }
 
@@ -504,7 +511,7 @@
   private final class RenewerListener implements WorkerLeaseRenewer.Listener {
     @Override
     public void onReport(Worker worker, WorkerReport report, long sentMillis) {
-      if (!worker.hasReported) {
+      if (!worker.hasReported || worker.hasHolds()) {
         jobs.requestPlacement();
       }
       if (!worker.hasReported) {
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -24,6 +24,15 @@
   /** How long the last worker report is relied on, in ms: one long poll and its response. */
   static final long REPORT_VALIDITY_MILLIS = 1_700;
 
+  /**
+   * How long an answer shows that a worker is up when a long-running task is assigned to it, in ms.
+   * If the worker is lost within this time, the task waits for the end of one more lease.
+   */
+  private static final long ANSWER_VALIDITY_MILLIS = 500;
+
+  /** After this time without an answer, another worker is asked as well, in ms. */
+  private static final long PROMPT_ANSWER_MILLIS = 150;
+
   WorkerEntry entry;
 
   /** Whether the platform lists this incarnation. */
@@ -65,7 +74,10 @@
    */
   boolean runsOrphan;
 
-  /** Whether a report request, which also renews the lease, is pending. */
+  /** The number of the last report request that was sent to it. */
+  long lastReportRequest;
+
+  /** Whether the last report request, which also renews the lease, is pending. */
   boolean reportRequestPending;
 
   /** When the next report request is due, monotonic ms. */
@@ -86,6 +98,12 @@
   /** The worker's clock in its newest report, ms. */
   long newestReportClockMillis;
 
+  /** When it was last asked for an answer before an assignment, monotonic ms; 0 if never. */
+  private long answerWantedMillis;
+
+  /** Whether that request has not been sent yet. */
+  private boolean answerRequestDue;
+
   /** The number of consecutive failed report requests; at least 1 if the worker is unreachable. */
   int consecutiveCallFailures;
 
@@ -290,6 +308,44 @@
     return consecutiveCallFailures == 0 && nowMillis - lastResponseMillis < REPORT_VALIDITY_MILLIS;
   }
 
+  /**
+   * Returns whether it responded so recently, or since it was asked for that, that a long-running
+   * task may be assigned to it.
+   */
+  boolean hasJustAnswered(long nowMillis) {
+    boolean hasAnswered =
+        lastResponseMillis >= answerWantedMillis
+            && nowMillis - answerWantedMillis < REPORT_VALIDITY_MILLIS;
+    return consecutiveCallFailures == 0
+        && (hasAnswered || nowMillis - lastResponseMillis < ANSWER_VALIDITY_MILLIS);
+  }
+
+  /** Has it asked for a report at once, unless it is being asked already. */
+  void wantAnswer(long nowMillis) {
+    if (!isAnswerAwaited(nowMillis)) {
+      answerWantedMillis = nowMillis;
+      answerRequestDue = true;
+    }
+  }
+
+  private boolean isAnswerAwaited(long nowMillis) {
+    return answerWantedMillis > lastResponseMillis
+        && nowMillis - answerWantedMillis < REPORT_VALIDITY_MILLIS
+        && consecutiveCallFailures == 0;
+  }
+
+  /** Returns whether it was asked for an answer and should have given it by now. */
+  boolean isLateToAnswer(long nowMillis) {
+    return isAnswerAwaited(nowMillis) && nowMillis - answerWantedMillis > PROMPT_ANSWER_MILLIS;
+  }
+
+  /** Returns whether a request for an answer must be sent at once, and records it as sent. */
+  boolean beginAnswerRequest() {
+    boolean isDue = answerRequestDue;
+    answerRequestDue = false;
+    return isDue;
+  }
+
   /** Returns whether its requests fail and it has last responded before a time. */
   boolean isSilentSince(long millis) {
     return consecutiveCallFailures > 0 && silentSinceMillis() < millis;
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRenewer.java
@@ -15,9 +15,10 @@
  *
  * <p>A worker gets report requests only while tasks may run there, an end has to be acknowledged,
  * or it runs an attempt that is not expected there, whose stop may have been lost. A listed worker
- * without tasks gets a single one, from which it learns the fencing token. A request to a worker
- * with tasks is a long poll: the worker responds when an attempt ends, or at the latest after
- * {@link #LONG_POLL_MILLIS}.
+ * without tasks gets a single one, from which it learns the fencing token, and another before it
+ * gets a long-running task; either is repeated until it responds. A request to a worker with tasks
+ * is a long poll: the worker responds when an attempt ends, or at the latest after {@link
+ * #LONG_POLL_MILLIS}.
  */
 final class WorkerLeaseRenewer {
   /**
@@ -121,7 +122,7 @@
       listener.onLeaseExpired(worker, nowMillis);
     }
     boolean isUnreachable = worker.ended || worker.entry.address().getPort() == 0;
-    if (!isUnreachable && worker.beginReplacementCheck()) {
+    if (!isUnreachable && (worker.beginReplacementCheck() || worker.beginAnswerRequest())) {
       // A long poll that is pending could delay the response.
       sendReportRequest(worker, 0, nowMillis);
       return;
@@ -139,7 +140,10 @@
     boolean hasTasks = !worker.isEmpty() || worker.hasHolds();
     boolean hasUnacknowledgedEnds = worker.lastCommittedEnd > worker.lastAcknowledgedEnd;
     boolean hasToRespond =
-        worker.listed && (!worker.hasReported || worker.isReplacementSuspected());
+        worker.listed
+            && (!worker.hasReported
+                || worker.isReplacementSuspected()
+                || worker.consecutiveCallFailures > 0);
     if (hasTasks || hasUnacknowledgedEnds || hasToRespond || worker.runsOrphan) {
       sendReportRequest(
           worker,
@@ -179,6 +183,8 @@
             leaseEnd, acknowledgedEnd, worker.fencingToken(lease.epoch()), waitMillis);
     long sentRegistration = worker.registration;
     worker.reportRequestPending = true;
+    worker.lastReportRequest++;
+    long sentRequest = worker.lastReportRequest;
     long sentGeneration = generation;
     CommandPermission permission = lease.renewalPermission();
     client.pollReport(
@@ -187,7 +193,9 @@
         permission,
         response -> {
           if (generation == sentGeneration) {
-            worker.reportRequestPending = false;
+            if (worker.lastReportRequest == sentRequest) {
+              worker.reportRequestPending = false;
+            }
             if (permission.wasDenied()) {
               worker.nextReportRequestMillis = clock.monotonicMillis() + RETRY_DELAY_MILLIS;
             } else {
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -37,6 +38,12 @@
   /** The rule for long-running tasks, without the time of its first 6 s, in ms. */
   private static final int MAX_AWAY_MILLIS = 3_000;
 
+  /** The longest true time of a lease that a worker holds from its scheduler. */
+  private static final int LEASE_MILLIS = 6_540;
+
+  /** After this time without an answer, another worker is asked as well. */
+  private static final int PROMPT_ANSWER_MILLIS = 150;
+
   private static final int AFTER_FAULT_MILLIS = 30_000;
   private static final Set<CommandKind> ALL = EnumSet.allOf(CommandKind.class);
 
@@ -294,11 +301,80 @@
   void idleWorkersAreLostAfterBusyOne(int phaseMillis) {
     startFleet(phaseMillis);
     runTasksFor(STEADY_MILLIS + phaseMillis);
-    List<String> idle =
-        workers().stream().filter(worker -> !fleet.isRunningAttempt(worker)).toList();
+    List<String> idle = idleWorkers();
     fleet.crashWorker(busyWorkers().get(0));
     fleet.runFor(3_000);
     idle.stream().limit(2).forEach(fleet::crashWorker);
     assertOwedTasksRun();
   }
+
+  private List<String> idleWorkers() {
+    return workers().stream().filter(worker -> !fleet.isRunningAttempt(worker)).toList();
+  }
+
+  /** Guards against the same at any time before the task is assigned, and of a new task. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1_000, 4_500, 5_000, 5_500})
+  void noStartIsSentToIdleWorkerThatWasLost(int delayMillis) {
+    startFleet(/* phaseMillis= */ 0);
+    runTasksFor(STEADY_MILLIS);
+    List<String> lost = idleWorkers().subList(0, 3);
+    fleet.crashWorker(busyWorkers().get(0));
+    fleet.runFor(delayMillis);
+    lost.forEach(fleet::crashWorker);
+    assertOwedTasksRun();
+    assertTrue(fleet.startCommands.stream().noneMatch(start -> lost.contains(start.worker())));
+    assertTrue(
+        fleet.longestAbsenceMillis() <= LEASE_MILLIS + lost.size() * PROMPT_ANSWER_MILLIS + 300,
+        "" + fleet.longestAbsenceMillis());
+  }
+
+  /** Guards against short tasks that take the room of a task while its worker is asked. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 10, 20, 30, 40})
+  void roomIsHeldWhileIdleWorkerIsAsked(int phaseMillis) {
+    startFleet(/* phaseMillis= */ 0);
+    fleet.runFor(STEADY_MILLIS + phaseMillis);
+    submit();
+    fleet.submitToOpenQueue("short", SimFleet.QUEUE, SimFleet.step(200, 1_000));
+    fleet.runFor(1_000);
+    assertEquals(TASKS, fleet.runningAttemptCountOf(JOB), "tasks that run");
+  }
+
+  /** Guards against a sound worker that is not asked again after one request was lost. */
+  @Test
+  void idleWorkerWithLostRequestGetsTasksAgain() {
+    startFleet(/* phaseMillis= */ 0);
+    fleet.runFor(STEADY_MILLIS);
+    setOutcome(EnumSet.of(CommandKind.REPORT_REQUEST), CommandOutcome.NOT_DELIVERED);
+    submit();
+    fleet.runFor(100);
+    setOutcome(ALL, CommandOutcome.RESPONSE_RECEIVED);
+    fleet.runFor(MAX_AWAY_MILLIS);
+    fleet.submitToOpenQueue("short", SimFleet.QUEUE, SimFleet.step(96, 1_000));
+    fleet.runFor(1_000);
+    assertEquals(List.of(), idleWorkers());
+  }
+
+  /** Guards against requests that are sent although no task is to start. */
+  @Test
+  void noMoreReportsAreRequestedInQuietTimes() {
+    startFleet(/* phaseMillis= */ 0);
+    runTasksFor(STEADY_MILLIS);
+    submitSecondStepToBusyWorkers();
+    fleet.reportRequests.clear();
+    fleet.runFor(60_000);
+    assertEquals(Set.copyOf(busyWorkers()), Set.copyOf(fleet.reportRequests));
+    assertTrue(fleet.reportRequests.size() <= 60 * TASKS, "" + fleet.reportRequests.size());
+  }
+
+  /** Submits a job whose tasks are assigned while long polls of their workers are pending. */
+  private void submitSecondStepToBusyWorkers() {
+    fleet.submitToOpenQueue(
+        "second",
+        SimFleet.QUEUE,
+        TestJobs.step(TASKS, 1_000, 500, TestJobs.StepKind.LONG_RUNNING, /* maxPerWorker= */ 1));
+    fleet.runFor(3_000);
+    assertEquals(TASKS, busyWorkers().size(), "workers with tasks");
+  }
 }
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -121,6 +121,9 @@
   /** All start commands that schedulers have sent, whether or not they arrived. */
   public final List<StartCommand> startCommands = new ArrayList<>();
 
+  /** The ids of the workers to which report requests were sent, one for each request. */
+  public final List<String> reportRequests = new ArrayList<>();
+
   /** A start command that was sent at {@code millis} and meant for an incarnation. */
   public record StartCommand(
       long millis, String worker, long incarnation, TaskId task, int attempt) {}
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimNode.java
@@ -590,6 +590,7 @@
         ReportRequest request,
         BooleanSupplier permission,
         Consumer<Either<CallFailure, WorkerReport>> done) {
+      fleet.reportRequests.add(worker.id());
       writeIfPermitted(permission, done, () -> writePoll(worker, request, done));
     }
 
