Soak of long-running tasks: workers lost for good beside takeovers

A method with seeds of its own adds losses followed within 0.1 to 5 s by a kill, a power loss, a graceful stop or two to four takeovers 1.2 s apart. The sequences of the present seeds stay as they are.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskSoakTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskSoakTest.java
@@ -7,11 +7,13 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -26,11 +28,15 @@
  * schedulers take over, in series and overlapping.
  *
  * <p>The system properties {@code longRunningSequences} and {@code longRunningFirstSeed} select
- * other sequences than the few of a usual run; {@code longRunningLog} prints the events.
+ * other sequences than the few of a usual run, {@code lostWorkerSequences} and {@code
+ * lostWorkerFirstSeed} those with workers lost beside takeovers; {@code longRunningLog} prints the
+ * events.
  */
 class LongRunningTaskSoakTest {
   private static final int SEQUENCES = Integer.getInteger("longRunningSequences", 3);
   private static final long FIRST_SEED = Long.getLong("longRunningFirstSeed", 20261208);
+  private static final int LOSS_SEQUENCES = Integer.getInteger("lostWorkerSequences", 3);
+  private static final long FIRST_LOSS_SEED = Long.getLong("lostWorkerFirstSeed", 20261301);
 
   private static final int NODES = 2;
   private static final ImmutableList<String> POOLS =
@@ -51,6 +57,13 @@
   private static final int TASK_CORES = 4;
   private static final int STEP_MILLIS = 50;
 
+  /** VMs that each pool has more while workers are lost for good. */
+  private static final int VMS_FOR_LOSSES = 3;
+
+  private static final int MAX_LOSS_TO_TAKEOVER_MILLIS = 5_000;
+  private static final int TAKEOVER_INTERVAL_MILLIS = 1_200;
+  private static final int MAX_TAKEOVERS = 4;
+
   /** How often nodes read the operator's waves. */
   private static final int WAVE_READ_MILLIS = 500;
 
@@ -67,10 +80,19 @@
     VM_LISTS_LAG,
     VM_RESPONSES_LOST,
     VM_MOVES_LATE,
-    VM_OF_MOVE_LOST
+    VM_OF_MOVE_LOST,
+    WORKER_LOST_BEFORE_KILL,
+    WORKER_LOST_BEFORE_POWER_LOSS,
+    WORKER_LOST_BEFORE_STOP,
+    WORKER_LOST_BEFORE_SERIES
   }
 
-  private static final ImmutableList<Event> EVENTS = ImmutableList.copyOf(Event.values());
+  private static final ImmutableList<Event> EVENTS =
+      ImmutableList.copyOf(EnumSet.range(Event.WAVE, Event.VM_OF_MOVE_LOST));
+
+  private static final ImmutableList<Event> LOSSES =
+      ImmutableList.copyOf(
+          EnumSet.range(Event.WORKER_LOST_BEFORE_KILL, Event.WORKER_LOST_BEFORE_SERIES));
 
   private record Peak(String pool, double jobsPerStep) {}
 
@@ -81,12 +103,24 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void tasksComeBackWhileThereIsRoom(long seed) {
-    new Sequence(seed).run();
+    new Sequence(seed, /* losesWorkers= */ false).run();
+  }
+
+  static LongStream seedsWithLosses() {
+    return LongStream.range(FIRST_LOSS_SEED, FIRST_LOSS_SEED + LOSS_SEQUENCES);
+  }
+
+  /** Guards against a wait for the leases of a lost worker that begins anew with a takeover. */
+  @ParameterizedTest
+  @MethodSource("seedsWithLosses")
+  void tasksOfLostWorkersComeBackBesideTakeovers(long seed) {
+    new Sequence(seed, /* losesWorkers= */ true).run();
   }
 
   /** One sequence of peaks and events. */
   private static final class Sequence {
     private final Random random;
+    private final boolean losesWorkers;
     private final SimFleet fleet;
     private final int vms;
     private final Map<String, StepSpec> longRunning = new LinkedHashMap<>();
@@ -94,8 +128,9 @@
     private int submitted;
     private int vmsLost;
 
-    Sequence(long seed) {
+    Sequence(long seed, boolean losesWorkers) {
       random = new Random(seed);
+      this.losesWorkers = losesWorkers;
       Map<String, Integer> vmsByPool = new LinkedHashMap<>();
       int needed = 0;
       for (String pool : POOLS) {
@@ -103,7 +138,7 @@
         longRunning.put(pool, step);
         int workers = workersFor(step);
         needed += workers;
-        vmsByPool.put(pool, workers + random.nextInt(3));
+        vmsByPool.put(pool, workers + random.nextInt(3) + (losesWorkers ? VMS_FOR_LOSSES : 0));
       }
       int inPools = vmsByPool.values().stream().mapToInt(Integer::intValue).sum();
       // A VM may leave, and another be down, while each pool has an empty worker.
@@ -181,6 +216,10 @@
         int atMillis = random.nextInt(SERIES_MILLIS - 3_000);
         fleet.clock.runAfter(atMillis, () -> inject(event));
       }
+      if (losesWorkers) {
+        Event loss = LOSSES.get(random.nextInt(LOSSES.size()));
+        fleet.clock.runAfter(random.nextInt(SERIES_MILLIS - 3_000), () -> inject(loss));
+      }
     }
 
     private void inject(Event event) {
@@ -221,6 +260,39 @@
             fleet.loseVmOfNextMove();
           }
         }
+        case WORKER_LOST_BEFORE_KILL -> loseWorkerBefore(fleet::startNode);
+        case WORKER_LOST_BEFORE_POWER_LOSS ->
+            loseWorkerBefore(node -> powerOff(node, durationMillis));
+        case WORKER_LOST_BEFORE_STOP -> loseWorkerBefore(this::stop);
+        case WORKER_LOST_BEFORE_SERIES ->
+            loseWorkerBefore(node -> startTakeovers(2 + random.nextInt(MAX_TAKEOVERS - 1)));
+      }
+    }
+
+    /** Ends a worker for good, and some time later the process that schedules then. */
+    private void loseWorkerBefore(Consumer<String> endOfNode) {
+      List<String> busy =
+          POOLS.stream()
+              .flatMap(pool -> fleet.workerIds(pool).stream())
+              .filter(fleet::isRunningAttempt)
+              .toList();
+      if (!busy.isEmpty()) {
+        fleet.crashWorker(busy.get(random.nextInt(busy.size())));
+      }
+      fleet.clock.runAfter(
+          100 + random.nextInt(MAX_LOSS_TO_TAKEOVER_MILLIS - 100),
+          () -> fleet.schedulingNodeName().ifPresent(endOfNode));
+    }
+
+    private void powerOff(String node, int durationMillis) {
+      fleet.powerOffNode(node);
+      fleet.clock.runAfter(durationMillis, () -> fleet.startNode(node));
+    }
+
+    private void startTakeovers(int count) {
+      fleet.schedulingNodeName().ifPresent(fleet::startNode);
+      if (count > 1) {
+        fleet.clock.runAfter(TAKEOVER_INTERVAL_MILLIS, () -> startTakeovers(count - 1));
       }
     }
 
