Generated sequences: workers lost for good beside takeovers

A generator of its own draws the loss of one or two workers, each followed within 0.1 to 5 s by one to four takeovers (killed, without power, paused, suspended, stopped gracefully), and up to two other faults of other workers. The sequences of the generator before stay as they are.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/GeneratedFault.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/GeneratedFault.java
@@ -1,5 +1,6 @@
 package org.sassafraslink.scheduler;
 
+import com.google.common.collect.ImmutableList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
@@ -54,7 +55,14 @@
     ENTRY_VANISHES(true),
     OLDER_ENTRY_WRITTEN(true),
     NEWER_ENTRY_WRITTEN(true),
-    NEWER_ENTRY_OF_OTHER_ADDRESS_WRITTEN(true);
+    NEWER_ENTRY_OF_OTHER_ADDRESS_WRITTEN(true),
+    /** The worker does not start again, but another one does in its place. */
+    WORKER_LOST(false),
+    SCHEDULER_STOPPED(true);
+
+    /** The kinds of sequences in which workers start again under their ids. */
+    static final ImmutableList<Kind> OF_RESTARTS =
+        ImmutableList.copyOf(EnumSet.range(WORKER_RESTARTS, NEWER_ENTRY_OF_OTHER_ADDRESS_WRITTEN));
 
     final boolean lasts;
 
@@ -136,6 +144,18 @@
       case OLDER_ENTRY_WRITTEN -> writeForeignEntry(fleet, id, -700, id);
       case NEWER_ENTRY_WRITTEN -> writeForeignEntry(fleet, id, 700, id);
       case NEWER_ENTRY_OF_OTHER_ADDRESS_WRITTEN -> writeForeignEntry(fleet, id, 700, "nobody");
+      case WORKER_LOST -> {
+        fleet.crashWorker(id);
+        restart(fleet, "spare" + worker, USUAL);
+      }
+      case SCHEDULER_STOPPED ->
+          fleet
+              .schedulingNodeName()
+              .ifPresent(
+                  name -> {
+                    fleet.nodes.get(name).stop();
+                    fleet.clock.runAfter(durationMillis, () -> fleet.startNode(name));
+                  });
     }
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/GeneratedSequence.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/GeneratedSequence.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -25,12 +26,15 @@
  * @param workerCount the number of workers
  * @param submissionMillis when jobs are submitted, in ms after the first ones
  * @param faults the faults in the order of their beginnings
+ * @param losesWorkers whether workers are lost beside takeovers; then long-running tasks are
+ *     checked by the rule of {@code LongRunningTaskChecker} too
  */
 record GeneratedSequence(
     long seed,
     int workerCount,
     ImmutableList<Integer> submissionMillis,
-    ImmutableList<GeneratedFault> faults) {
+    ImmutableList<GeneratedFault> faults,
+    boolean losesWorkers) {
   static final List<String> NODES = List.of("n0", "n1", "n2");
 
   /** Faults that are in no group begin before this time after the first submission, in ms. */
@@ -64,6 +68,16 @@
 
   private static final String LASTING_JOB = "lasting";
 
+  private static final ImmutableList<Kind> BESIDE_LOSSES =
+      ImmutableList.of(
+          Kind.WORKER_RESTARTS,
+          Kind.WORKER_CRASHES,
+          Kind.WORKER_CUT_OFF,
+          Kind.WORKER_CUT_OFF_FROM_NODE,
+          Kind.RESPONSES_LOST,
+          Kind.STORE_SLOW,
+          Kind.ENTRY_VANISHES);
+
   /** Generates the sequence of a seed. */
   static GeneratedSequence generate(long seed) {
     Random random = new Random(seed);
@@ -73,10 +87,10 @@
     for (int i = 0; i < groups; i++) {
       addRestartsAndCut(random, workerCount, faults::add);
     }
-    Kind[] kinds = Kind.values();
+    List<Kind> kinds = Kind.OF_RESTARTS;
     int others = random.nextInt(5);
     for (int i = 0; i < others; i++) {
-      Kind kind = kinds[random.nextInt(kinds.length)];
+      Kind kind = kinds.get(random.nextInt(kinds.size()));
       faults.add(
           fault(random, random.nextInt(FAULTS_MILLIS), kind, drawWorker(random, workerCount)));
     }
@@ -87,16 +101,54 @@
     return of(seed, workerCount, submissionMillis.build(), faults);
   }
 
+  /** Generates the sequence of a seed in which workers are lost beside takeovers. */
+  static GeneratedSequence generateWithLosses(long seed) {
+    Random random = new Random(seed);
+    int workerCount = 4 + random.nextInt(3);
+    List<GeneratedFault> faults = new ArrayList<>();
+    Set<Integer> lost = new HashSet<>();
+    int groups = 1 + random.nextInt(2);
+    for (int i = 0; i < groups; i++) {
+      int worker = drawWorker(random, workerCount);
+      if (lost.add(worker)) {
+        addLossBesideTakeovers(random, worker, faults::add);
+      }
+    }
+    int others = random.nextInt(3);
+    for (int i = 0; i < others; i++) {
+      Kind kind = BESIDE_LOSSES.get(random.nextInt(BESIDE_LOSSES.size()));
+      int worker = drawWorker(random, workerCount);
+      if (!lost.contains(worker)) {
+        faults.add(fault(random, random.nextInt(FAULTS_MILLIS), kind, worker));
+      }
+    }
+    ImmutableList.Builder<Integer> submissionMillis = ImmutableList.builder();
+    for (int i = 0; i < SUBMISSIONS; i++) {
+      submissionMillis.add(drawSubmissionMillis(random, faults));
+    }
+    return of(seed, workerCount, submissionMillis.build(), faults, /* losesWorkers= */ true);
+  }
+
   static GeneratedSequence of(
       long seed,
       int workerCount,
       ImmutableList<Integer> submissionMillis,
       List<GeneratedFault> faults) {
+    return of(seed, workerCount, submissionMillis, faults, /* losesWorkers= */ false);
+  }
+
+  private static GeneratedSequence of(
+      long seed,
+      int workerCount,
+      ImmutableList<Integer> submissionMillis,
+      List<GeneratedFault> faults,
+      boolean losesWorkers) {
     return new GeneratedSequence(
         seed,
         workerCount,
         submissionMillis,
-        ImmutableList.sortedCopyOf(Comparator.comparingInt(GeneratedFault::atMillis), faults));
+        ImmutableList.sortedCopyOf(Comparator.comparingInt(GeneratedFault::atMillis), faults),
+        losesWorkers);
   }
 
   /** Draws a time for a submission, mostly about when a fault begins. */
@@ -172,6 +224,33 @@
     }
   }
 
+  /** Adds the loss of a worker, and up to 5 s later one takeover or a series of them. */
+  private static void addLossBesideTakeovers(
+      Random random, int worker, Consumer<GeneratedFault> faults) {
+    Kind[] takeovers = {
+      Kind.SCHEDULER_KILLED,
+      Kind.SCHEDULER_POWERED_OFF,
+      Kind.SCHEDULER_PAUSED,
+      Kind.SCHEDULER_SUSPENDED,
+      Kind.SCHEDULER_STOPPED
+    };
+    int atMillis = random.nextInt(FAULTS_MILLIS / 2);
+    faults.accept(fault(random, atMillis, Kind.WORKER_LOST, worker));
+    atMillis += 100 + random.nextInt(4_900);
+    int takeoverCount = random.nextBoolean() ? 1 : 2 + random.nextInt(3);
+    for (int i = 0; i < takeoverCount; i++) {
+      // A node is away for less than two takeovers, so that one of three is always left.
+      faults.accept(
+          new GeneratedFault(
+              atMillis,
+              takeovers[random.nextInt(takeovers.length)],
+              worker,
+              /* node= */ 0,
+              /* durationMillis= */ 500 + random.nextInt(1_000)));
+      atMillis += 800 + random.nextInt(1_200);
+    }
+  }
+
   /** Returns the time after the first jobs were submitted at which the last fault has no effect. */
   private int lastEffectMillis() {
     return faults.stream()
@@ -187,14 +266,19 @@
       Random random = new Random(sequence.seed());
       int longRunningTasks = 1 + random.nextInt(3);
       Jobs jobs = new Jobs(fleet, random, longRunningTasks, new ArrayList<>());
-      fleet.submit(
-          LASTING_JOB,
+      StepSpec longRunning =
           TestJobs.step(
               longRunningTasks,
               1_000,
               OUTLASTS_TEST_MILLIS,
               TestJobs.StepKind.LONG_RUNNING,
-              /* max */ 0));
+              /* max */ 0);
+      if (sequence.losesWorkers()) {
+        // The rule does not bind for a team, whose limit may be reached.
+        fleet.submitToOpenQueue(LASTING_JOB, SimFleet.QUEUE, longRunning);
+      } else {
+        fleet.submit(LASTING_JOB, longRunning);
+      }
       jobs.submit("long", jobs.plain(2 + random.nextInt(4), 2_000, LONGEST_TASK_MILLIS));
       if (random.nextInt(3) == 0) {
         jobs.submit(
@@ -311,7 +395,7 @@
       for (GeneratedFault fault : shortest.faults()) {
         List<GeneratedFault> fewer = new ArrayList<>(shortest.faults());
         fewer.remove(fault);
-        GeneratedSequence candidate = of(seed, workerCount, submissionMillis, fewer);
+        GeneratedSequence candidate = of(seed, workerCount, submissionMillis, fewer, losesWorkers);
         if (kindsOf(candidate.violations(disabled)).stream().anyMatch(wanted::contains)) {
           shortest = candidate;
           isShorter = true;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/GeneratedSequenceTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/GeneratedSequenceTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongFunction;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -22,13 +24,17 @@
  * while they are cut off, commands to them are late and schedulers take over.
  *
  * <p>The system properties {@code sequences} and {@code firstSeed} select other sequences than the
- * few of a usual run; then all are played and counted.
+ * few of a usual run; then all are played and counted. {@code lossSequences} and {@code
+ * firstLossSeed} do so for those in which workers are lost beside takeovers.
  */
 class GeneratedSequenceTest {
   private static final int USUAL_SEQUENCES = 150;
   private static final int SEQUENCES = Integer.getInteger("sequences", USUAL_SEQUENCES);
   private static final long FIRST_SEED = Long.getLong("firstSeed", 20261206);
 
+  private static final int LOSS_SEQUENCES = Integer.getInteger("lossSequences", 50);
+  private static final long FIRST_LOSS_SEED = Long.getLong("firstLossSeed", 20263001);
+
   /** How many sequences with violations are shortened and printed. */
   private static final int SHOWN = Integer.getInteger("shown", 3);
 
@@ -74,9 +80,27 @@
   @Test
   void eachTaskRunsOnceAndAgainAfterFaults() {
     List<Long> failing = failingSeeds("with all mechanisms", Set.of());
+    assertNoneFails(failing, GeneratedSequence::generate);
+  }
+
+  /** Guards against a wait for the leases of a lost worker that begins anew with a takeover. */
+  @Test
+  void taskOfLostWorkerRunsAgainBesideTakeovers() {
+    List<Long> failing =
+        failingSeeds(
+            "with workers lost beside takeovers",
+            LongStream.range(FIRST_LOSS_SEED, FIRST_LOSS_SEED + LOSS_SEQUENCES),
+            GeneratedSequence::generateWithLosses,
+            Set.of());
+    assertNoneFails(failing, GeneratedSequence::generateWithLosses);
+  }
+
+  /** Prints some of the sequences that fail, shortened. */
+  private static void assertNoneFails(
+      List<Long> failing, LongFunction<GeneratedSequence> generator) {
     failing.stream()
         .limit(SHOWN)
-        .map(seed -> GeneratedSequence.generate(seed).shrink(Set.of()))
+        .map(seed -> generator.apply(seed).shrink(Set.of()))
         .forEach(shortest -> System.out.println(shortest + "\n  " + shortest.violations()));
     assertEquals(List.of(), failing);
   }
@@ -107,12 +131,22 @@
 
   /** Returns the seeds of the sequences with violations, and prints their number. */
   private static List<Long> failingSeeds(String subject, Set<DisabledMechanism> disabled) {
+    return failingSeeds(subject, seeds(), GeneratedSequence::generate, disabled);
+  }
+
+  private static List<Long> failingSeeds(
+      String subject,
+      LongStream seeds,
+      LongFunction<GeneratedSequence> generator,
+      Set<DisabledMechanism> disabled) {
     Map<String, Integer> sequencesByKind = new TreeMap<>();
+    AtomicInteger played = new AtomicInteger();
     List<Long> failing =
-        seeds()
+        seeds
             .filter(
                 seed -> {
-                  List<String> violations = GeneratedSequence.generate(seed).violations(disabled);
+                  played.incrementAndGet();
+                  List<String> violations = generator.apply(seed).violations(disabled);
                   violations.stream()
                       .map(GeneratedSequence::kindOf)
                       .distinct()
@@ -126,7 +160,7 @@
             + ": violations in "
             + failing.size()
             + " of "
-            + SEQUENCES
+            + played
             + " sequences, by kind "
             + sequencesByKind);
     return failing;
