Tests of recorded ends: restart, second cut, rows of other epochs

Cause: the removal of an entry, its use by epoch and a restart of the worker were tested only without a fault of the store. Change: three tests of RecordedLeaseEndTest.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/RecordedLeaseEndTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/RecordedLeaseEndTest.java
@@ -3,22 +3,28 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.sassafraslink.api.fleet.RowStore.RowKey;
 import org.sassafraslink.api.fleet.TaskId;
 import org.sassafraslink.scheduler.sim.FakeRowStore.Behavior;
 import org.sassafraslink.scheduler.sim.SimFleet;
 import org.sassafraslink.scheduler.sim.SimNetwork.CommandKind;
 import org.sassafraslink.scheduler.sim.SimNode.CommandOutcome;
+import org.sassafraslink.scheduler.workerlease.LeaseEnd;
+import org.sassafraslink.scheduler.workerlease.LeaseEndRow;
 
 /**
  * Guards against the wait for a lost worker that begins anew with each takeover, and against runs
@@ -31,6 +37,7 @@
   private static final String JOB = "lasting";
   private static final TaskId TASK = new TaskId(JOB, 0, 0, 0);
   private static final String TABLE = "worker-leases";
+  private static final RowKey KEY = new RowKey(TABLE, JobRows.MAIN_PARTITION, "recorded-ends");
 
   /** After this age a worker holds no lease from commands to an earlier incarnation. */
   private static final int STEADY_MILLIS = 45_000;
@@ -41,6 +48,9 @@
   /** The rule for long-running tasks: within 3 s from 6 s after the last run. */
   private static final long MAX_AWAY_MILLIS = 9_000;
 
+  /** Within this time after its restart a worker is known and its tasks run again, in ms. */
+  private static final int MAX_DISCOVERY_MILLIS = 3_000;
+
   private static final int AFTER_FAULT_MILLIS = 30_000;
   private static final Set<CommandKind> ALL = EnumSet.allOf(CommandKind.class);
 
@@ -258,6 +268,73 @@
     }
   }
 
+  /** Guards against leases that are granted before the removal of an entry is committed. */
+  @ParameterizedTest
+  @ValueSource(ints = {2_000, 3_000, 4_000})
+  void workerIsCutOffAgainBeforeItsEntryIsRemoved(int answersMillis) {
+    for (int phaseMillis : new int[] {0, 250, 510, 770}) {
+      startFleet(phaseMillis);
+      String worker = busyWorker();
+      setOutcome(worker, CommandOutcome.NOT_DELIVERED);
+      fleet.runFor(2_000);
+      assertEquals(1, fleet.rowStore.countWrites(TABLE));
+      fleet.rowStore.delayWrites(TABLE, 10_000);
+      setOutcome(worker, CommandOutcome.RESPONSE_RECEIVED);
+      fleet.runFor(answersMillis);
+      setOutcome(worker, CommandOutcome.NOT_DELIVERED);
+      killScheduler();
+      fleet.runFor(15_000);
+      setOutcome(worker, CommandOutcome.RESPONSE_RECEIVED);
+      fleet.rowStore.delayWrites(TABLE, 0);
+      assertRunsOnce();
+    }
+  }
+
+  /** Guards against ends that a scheduler recorded before others granted further leases. */
+  @ParameterizedTest
+  @CsvSource({"0, true", "-1, false", "1, false", "unreadable, false"})
+  void rowIsUsedOnlyIfItIsOfThePredecessor(String epochDifference, boolean isUsed) {
+    startFleet(/* phaseMillis= */ 0);
+    String worker = busyWorker();
+    setOutcome(worker, CommandOutcome.NOT_DELIVERED);
+    fleet.runFor(3_000);
+    LeaseEndRow row = LeaseEndRow.decode(fleet.rowStore.findRow(KEY).value()).orElseThrow();
+    LeaseEnd early = new LeaseEnd(fleet.incarnation(worker), 0);
+    String value =
+        epochDifference.equals("unreadable")
+            ? "{\"epoch\":" + row.epoch() + ",\"workers\":{\"" + worker + "\":[0]}}"
+            : new LeaseEndRow(
+                    row.epoch() + Long.parseLong(epochDifference), ImmutableMap.of(worker, early))
+                .encode();
+    fleet.rowStore.putRow(KEY.table(), KEY.partition(), KEY.key(), value);
+    killScheduler();
+    fleet.runFor(AFTER_FAULT_MILLIS);
+    // An end that is too early is noticed by the checker, so the row was used.
+    assertEquals(isUsed, !fleet.guaranteeChecker.violations().isEmpty());
+  }
+
+  /** Guards against an entry of a lost incarnation that keeps the next one from getting tasks. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1})
+  void recordedWorkerRestarts(int kills) {
+    startFleet(/* phaseMillis= */ 0);
+    String worker = busyWorker();
+    fleet.crashWorker(worker);
+    fleet.runFor(2_500);
+    if (kills > 0) {
+      killScheduler();
+      fleet.runFor(300);
+    }
+    long restartMillis = fleet.clock.nowMillis();
+    fleet.startWorker(worker);
+    fleet.runFor(MAX_DISCOVERY_MILLIS);
+    assertEquals(1, fleet.runningAttemptCountOf(JOB), "tasks that run");
+    assertRunsOnce();
+    assertTrue(awayMillis(restartMillis) <= MAX_DISCOVERY_MILLIS);
+    String row = fleet.rowStore.findRow(KEY).value();
+    assertEquals(Optional.of(0), LeaseEndRow.decode(row).map(read -> read.endByWorker().size()));
+  }
+
   /** Guards against writes when nothing is wrong. */
   @Test
   void nothingIsWrittenWhileWorkersAnswer() {
