--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRecorder.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseRecorder.java
@@ -5,6 +5,8 @@
 import com.google.common.collect.Maps;
 import com.google.common.collect.Sets;
 import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.sassafraslink.api.fleet.CallFailure;
@@ -146,7 +148,7 @@
   }
 
   private Optional<ImmutableMap<String, RecordedEnd>> due(WorkerRegistry workers, long nowMillis) {
-    ImmutableList.Builder<ObservedWorker> observed = ImmutableList.builder();
+    List<ObservedWorker> observed = new ArrayList<>();
     boolean isTimeKnown = store.storeTime().isPresent();
     for (Worker worker : workers.all()) {
       boolean mayNeedEntry = isTimeKnown && worker.consecutiveCallFailures > 0;
@@ -154,9 +156,12 @@
         observed.add(observe(worker, workers));
       }
     }
+    if (observed.isEmpty()) {
+      return Optional.empty();
+    }
     long nowWallMillis = clock.wallMillis();
     return ends.due(
-        observed.build(),
+        observed,
         millis -> store.storeTime().orElseThrow().notPassedBefore(millis, nowMillis, nowWallMillis),
         nowMillis);
   }
