The release of a long-running task is stored although it finds no place

Callers would see a long-running task that waits 6.6 s more after a takeover although there is room for it: its worker was lost long before, and its task was released for want of room. Only an assignment had the row of its job written, so the row still named the lost worker, and the successor waited for its leases again.

The release of a long-running task now writes the row; the assignment that usually follows in the same pass shares the transaction.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -338,6 +338,10 @@
     task.startAfterChange = 0;
     task.release(nextPhase, clock.monotonicMillis());
     placementRequested = true;
+    if (task.step.longRunning() && nextPhase == TaskPhase.WAITING) {
+      // The next scheduler would wait for the leases of its worker again.
+      progressWriter.recordChange(task.job, false);
+    }
     removeIfFinished(task.job);
   }
 
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LostWorkerBesideTakeoverTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LostWorkerBesideTakeoverTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.sassafraslink.api.fleet.TaskId;
 import org.sassafraslink.scheduler.sim.SimFleet;
@@ -40,6 +41,9 @@
   /** Within this time a worker with a new id reports for the first time and gets a task. */
   private static final int FIRST_REPORT_MILLIS = 3_000;
 
+  /** After this time the tasks of a lost worker have been released. */
+  private static final int RELEASED_MILLIS = 8_000;
+
   private static final int TAKEOVER_INTERVAL_MILLIS = 1_200;
   private static final int MAX_TAKEOVER_MILLIS = 5_000;
   private static final int SUSPENDED_MILLIS = 2_500;
@@ -335,4 +339,28 @@
   void workerIsLostBesideSeriesOfTakeovers(Scenario scenario) {
     play(scenario);
   }
+
+  /**
+   * Guards against a second wait for the leases of a worker whose tasks were released for want of
+   * room.
+   */
+  @ParameterizedTest
+  @EnumSource(End.class)
+  void releasedTaskStartsOnceThereIsRoom(End end) {
+    SimFleet fleet = SimFleet.start(SEED, NODES, SimLayout.singlePool(OTHER_WORKERS));
+    fleet.multiplyTaskTimes(TASK_TIME_FACTOR);
+    fleet.runFor(3_000);
+    OLD.prelude().run(fleet);
+    fleet.crashWorker(LOST);
+    fleet.runFor(RELEASED_MILLIS);
+    // Its end takes the place of that of the first worker in the row of recorded ends.
+    fleet.crashWorker("w0");
+    fleet.runFor(RELEASED_MILLIS);
+    assertEquals(TASKS - 2, fleet.runningAttemptCountOf(JOB), "tasks that run without room");
+    endScheduler(fleet, end);
+    runUntil(fleet, () -> fleet.schedulingNodeName().isPresent(), MAX_TAKEOVER_MILLIS);
+    SPARES.forEach(fleet::startWorker);
+    runUntil(fleet, () -> fleet.runningAttemptCountOf(JOB) == TASKS, FIRST_REPORT_MILLIS);
+    assertEquals(List.of(), fleet.guaranteeChecker.violations());
+  }
 }
