--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -85,6 +85,7 @@
     this.log = log;
     this.leaseLog = new WorkerLeaseLog(log);
     ResponseTrackingRowStore tracked = new ResponseTrackingRowStore(store, clock);
+    InheritedLeaseEnds inheritedLeaseEnds = InheritedLeaseEnds.of(tracked::storeTime);
     this.lease =
         new SchedulerLease(tracked, clock, log, settings, holderWatch, new LeaseListener());
     this.fences = new DecisionFences(tracked, clock, log, lease, settings.process());
@@ -111,6 +112,7 @@
             quarantine,
             durationModel,
             demandRate,
+            inheritedLeaseEnds,
             lease::onFenced);
     this.jobFeed = new JobFeed(tracked, clock, log, new JobFeedListener());
     this.announcedJobs =
@@ -120,7 +122,8 @@
             id -> jobs.findJob(id) != null || jobCleaner.contains(id),
             this::applyJobRows);
     this.load = new SchedulerLoad(log);
-    this.progressWriter = new JobProgressWriter(tracked, clock, log, lease, fences, load, jobs);
+    this.progressWriter =
+        new JobProgressWriter(tracked, clock, log, lease, fences, load, inheritedLeaseEnds, jobs);
     this.evacuations =
         new ZoneEvacuations(
             log, workers::all, settings.maxEvacuationDelayMillis(), new EvacuationActions());
@@ -531,7 +534,12 @@
       }
       if (!worker.hasReported) {
         long unknownAttempts = workerReportReconciler.countUnknownAttempts(worker, report);
-        leaseLog.logConfirmed(worker, report, unknownAttempts, clock.monotonicMillis());
+        leaseLog.logConfirmed(
+            worker,
+            report,
+            unknownAttempts,
+            workers.unknownLeasesOf(worker),
+            clock.monotonicMillis());
       }
       workerReportReconciler.applyReport(worker, report, sentMillis);
       worker.advanceLastCommittedEnd();
@@ -562,7 +570,7 @@
         // least.
         long silentSinceMillis = Math.max(leaseAcquiredMillis, worker.silentSinceMillis());
         leaseLog.logExpired(
-            worker, released, workers.unknownLeasesOf(worker.entry), silentSinceMillis, nowMillis);
+            worker, released, workers.unknownLeasesOf(worker), silentSinceMillis, nowMillis);
       }
     }
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/SilentWorkerWatch.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/SilentWorkerWatch.java
@@ -49,7 +49,7 @@
             .map(
                 worker ->
                     new SilentWorker(
-                        workers.unknownLeasesOf(worker.entry), worker.lease().latestExpiryMillis()))
+                        workers.unknownLeasesOf(worker), worker.lease().latestExpiryMillis()))
             .toList();
     return SilentWorkers.of(silent, nowMillis);
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseLog.java
@@ -27,8 +27,14 @@
    * Logs the first report of an incarnation, or the first one after its lease expired.
    *
    * @param unknownAttempts how many of the running attempts are not assigned to it
+   * @param unknown the ends of the leases that earlier schedulers granted
    */
-  void logConfirmed(Worker worker, WorkerReport report, long unknownAttempts, long nowMillis) {
+  void logConfirmed(
+      Worker worker,
+      WorkerReport report,
+      long unknownAttempts,
+      UnknownLeases unknown,
+      long nowMillis) {
     log.log(
         "worker.confirmed",
         "worker",
@@ -42,7 +48,7 @@
         "unknown",
         unknownAttempts,
         "unknownLeaseLeft",
-        Math.max(0, worker.lease().unknownLeasesEndMillis() - nowMillis));
+        Math.max(0, unknown.endMillis() - nowMillis));
   }
 
   /** Logs the first of several consecutive report requests that failed. */
@@ -86,7 +92,7 @@
         "inDoubt",
         worker.tasks().size(),
         "lastBound",
-        lease.lastBound(unknown.ownEndMillis()),
+        lease.lastBound(),
         "leaseEnd",
         onWorkerClock.map(OnWorkerClock::endMillis).orElse(UNKNOWN_MILLIS),
         "inheritedLeaseEnd",
@@ -96,11 +102,13 @@
         "clockAge",
         onWorkerClock.map(known -> nowMillis - known.readMillis()).orElse(UNKNOWN_MILLIS),
         "unknownLeaseEndAgo",
-        nowMillis - lease.unknownLeasesEndMillis(),
+        nowMillis - unknown.endMillis(),
         "unknownOwnEndAgo",
         nowMillis - unknown.ownEndMillis(),
         "unknownInheritedEndAgo",
-        nowMillis - unknown.inheritedEndMillis(),
+        unknown.inheritedEndMillis() > 0
+            ? nowMillis - unknown.inheritedEndMillis()
+            : UNKNOWN_MILLIS,
         "unknownCountedFromAgo",
         nowMillis - unknown.countedFromMillis(),
         "silentMillis",
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -285,23 +285,27 @@
 
   /**
    * Creates a worker. If it does not report, the leases that earlier schedulers granted it are
-   * known only by the time at which these schedulers ended.
+   * known only by the time at which these schedulers ended. So are those from commands to earlier
+   * incarnations, unless the row of a job says more.
    */
   private Worker createWorker(WorkerEntry entry) {
-    return new Worker(entry, unknownLeasesOf(entry).endMillis());
-  }
-
-  /** Returns when the leases have expired that earlier schedulers granted an incarnation. */
-  UnknownLeases unknownLeasesOf(WorkerEntry entry) {
     long ageMillis = clock.wallMillis() - entry.incarnation();
     long sincePredecessorMillis = clock.monotonicMillis() - predecessorEndMillis;
     long inheritedLeaseMillis =
-        LateCommandBounds.longestTrueMillis(
-            lateCommands.inheritedLeaseMillis(ageMillis - sincePredecessorMillis));
-    return new UnknownLeases(
-        predecessorEndMillis,
+        lateCommands.inheritedLeaseMillis(ageMillis - sincePredecessorMillis);
+    long inheritedEndMillis =
+        predecessorEndMillis + LateCommandBounds.longestTrueMillis(inheritedLeaseMillis);
+    return new Worker(
+        entry,
         predecessorEndMillis + longestOwnLeaseMillis,
-        predecessorEndMillis + inheritedLeaseMillis);
+        inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
+  }
+
+  /** Returns when the leases of a worker have expired that earlier schedulers granted. */
+  UnknownLeases unknownLeasesOf(Worker worker) {
+    WorkerLease lease = worker.lease();
+    return new UnknownLeases(
+        predecessorEndMillis, lease.unknownLeasesEndMillis(), lease.unknownInheritedEndMillis());
   }
 
   /** Creates a worker whose kind is unknown until its own entry is read. */
