--- a/scheduler/src/main/java/org/sassafraslink/scheduler/DecisionPartitionWriter.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/DecisionPartitionWriter.java
@@ -183,7 +183,7 @@
       deletes.add(cancellationKey);
     }
     if (!job.state.isFinal()) {
-      long now = clock.monotonicMillis();
+      ClockTimes now = ClockTimes.read(clock);
       String value = ProgressRow.encode(job, worker -> inheritedLeaseEnds.toStore(worker, now));
       puts.add(new Put(progressKey, value));
       return value.length();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -30,6 +30,7 @@
   private final JobRegistry jobs;
   private final SchedulerLease lease;
   private final DecisionFences fences;
+  private final WorkerLeaseRecorder leaseRecorder;
   private final WorkerRegistry workers;
   private final JobFeed jobFeed;
   private final AnnouncedJobs announcedJobs;
@@ -89,6 +90,7 @@
     this.lease =
         new SchedulerLease(tracked, clock, log, settings, holderWatch, new LeaseListener());
     this.fences = new DecisionFences(tracked, clock, log, lease, settings.process());
+    this.leaseRecorder = new WorkerLeaseRecorder(tracked, clock, log, lease, this::renewLeaseOf);
     this.workers =
         new WorkerRegistry(
             tracked,
@@ -97,6 +99,7 @@
             formats,
             settings.longestOwnLeaseMillis(),
             settings.lateCommandBounds(),
+            leaseRecorder::withholds,
             new WorkerListener());
     this.jobCleaner =
         new FinishedJobCleaner(tracked, clock, lease, fences, settings.finalStateRetentionMillis());
@@ -212,7 +215,14 @@
     this.waveStatusWriter = new WaveStatusWriter(store, clock, lease, formats);
     this.placement =
         new Placement(
-            config, workers, durationModel, quarantine, adviceTickets, autoscaler::isSurplus, log);
+            config,
+            workers,
+            durationModel,
+            quarantine,
+            adviceTickets,
+            autoscaler::isSurplus,
+            relocations::hold,
+            log);
     this.placementRounds = new PlacementRounds(clock, jobs, placement, progressWriter, load);
   }
 
@@ -311,8 +321,9 @@
       return;
     }
     workers.pollIfDue(now, vmMover.hasOverdueMove(now));
-    // Its row is guarded by the lease itself, so it needs no fence.
+    // Their rows are guarded by the lease itself, so they need no fence.
     commandLog.readOrWriteIfDue(now);
+    leaseRecorder.readOrWriteIfDue(workers, now);
     fences.writeIfDue(now);
     // Until then a predecessor may still change the rows of jobs.
     if (!fences.areWritten()) {
@@ -351,6 +362,7 @@
   private void restoreJobsIfLoaded() {
     if (!jobFeed.isLoaded()
         || !workers.isLoaded()
+        || !leaseRecorder.isLoaded()
         || !config.hasSettings()
         || !evacuations.areKnown()) {
       return;
@@ -364,6 +376,7 @@
     jobs.requestPlacement();
     jobs.restore(earlyRows);
     earlyRows = ImmutableList.of();
+    leaseRecorder.onJobsRestored(workers);
     maintenance.onJobsRestored(clock.monotonicMillis());
     pendingCounts.onJobsRestored(clock.monotonicMillis());
     maintenance.addWaves(waves);
@@ -411,6 +424,7 @@
     commandSender.reset();
     evacuations.reset();
     leaseRenewer.reset();
+    leaseRecorder.reset();
     jobFeed.reset();
     announcedJobs.reset();
     relocations.reset();
@@ -425,12 +439,12 @@
 
   private final class LeaseListener implements SchedulerLease.Listener {
     @Override
-    public void onAcquired(long epoch, long predecessorEndMillis) {
+    public void onAcquired(long epoch, long predecessorEndMillis, long predecessorGrantMillis) {
       long now = clock.monotonicMillis();
       leaseAcquiredMillis = now;
       Scheduler.this.predecessorEndMillis = predecessorEndMillis;
       reset();
-      workers.reset(Math.max(now, predecessorEndMillis));
+      workers.reset(Math.max(now, predecessorEndMillis), predecessorGrantMillis);
       vmInventory.reset();
       commandLog.reset();
       maintenance.reset();
@@ -448,7 +462,7 @@
     @Override
     public void onLost() {
       reset();
-      workers.reset(0);
+      workers.reset(0, 0);
     }
   }
 
@@ -529,17 +543,12 @@
   private final class RenewerListener implements WorkerLeaseRenewer.Listener {
     @Override
     public void onReport(Worker worker, WorkerReport report, long sentMillis) {
-      if (!worker.hasReported) {
+      if (!worker.hasReported || worker.hasHolds()) {
         jobs.requestPlacement();
       }
       if (!worker.hasReported) {
         long unknownAttempts = workerReportReconciler.countUnknownAttempts(worker, report);
-        leaseLog.logConfirmed(
-            worker,
-            report,
-            unknownAttempts,
-            workers.unknownLeasesOf(worker),
-            clock.monotonicMillis());
+        leaseLog.logConfirmed(worker, report, unknownAttempts, clock.monotonicMillis());
       }
       workerReportReconciler.applyReport(worker, report, sentMillis);
       worker.advanceLastCommittedEnd();
@@ -575,6 +584,13 @@
     }
   }
 
+  /** Renews the lease of a worker at once, since none was granted for some time. */
+  private void renewLeaseOf(String workerId) {
+    workers
+        .findById(workerId)
+        .ifPresent(worker -> leaseRenewer.renewNow(worker, clock.monotonicMillis()));
+  }
+
   private void handleFencing(Worker worker) {
     log.log("worker.fenced_us", "worker", worker.entry.id(), "epoch", lease.epoch());
     lease.onFenced();
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Worker.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.StepSpec;
@@ -24,6 +25,15 @@
   /** How long the last worker report is relied on, in ms: one long poll and its response. */
   static final long REPORT_VALIDITY_MILLIS = 1_700;
 
+  /**
+   * How long an answer shows that a worker is up when a long-running task is assigned to it, in ms.
+   * If the worker is lost within this time, the task waits for the end of one more lease.
+   */
+  private static final long ANSWER_VALIDITY_MILLIS = 500;
+
+  /** After this time without an answer, another worker is asked as well, in ms. */
+  private static final long PROMPT_ANSWER_MILLIS = 150;
+
   WorkerEntry entry;
 
   /** Whether the platform lists this incarnation. */
@@ -59,6 +69,15 @@
    */
   private OptionalLong storedInheritedEndMillis = OptionalLong.empty();
 
+  /**
+   * Whether this scheduler knew of another incarnation of the worker when it first knew of this
+   * one.
+   */
+  boolean followsKnownIncarnation;
+
+  /** Whether the row of a job names a later incarnation of the worker. */
+  boolean namedInLaterIncarnation;
+
   /** Whether a response has shown that a later incarnation of the worker runs. */
   boolean laterIncarnationSeen;
 
@@ -71,7 +90,10 @@
    */
   boolean runsOrphan;
 
-  /** Whether a report request, which also renews the lease, is pending. */
+  /** The number of the last report request that was sent to it. */
+  long lastReportRequest;
+
+  /** Whether the last report request, which also renews the lease, is pending. */
   boolean reportRequestPending;
 
   /** When the next report request is due, monotonic ms. */
@@ -92,6 +114,12 @@
   /** The worker's clock in its newest report, ms. */
   long newestReportClockMillis;
 
+  /** When it was last asked for an answer before an assignment, monotonic ms; 0 if never. */
+  private long answerWantedMillis;
+
+  /** Whether that request has not been sent yet. */
+  private boolean answerRequestDue;
+
   /** The number of consecutive failed report requests; at least 1 if the worker is unreachable. */
   int consecutiveCallFailures;
 
@@ -139,6 +167,9 @@
 
   private WorkerLease lease;
 
+  /** Whether it gets no lease beyond those it has; see {@link WorkerLeaseRecorder}. */
+  private BooleanSupplier leaseWithheld = () -> false;
+
   private ReplacementSuspicion replacementSuspicion = ReplacementSuspicion.NONE;
 
   /** When a replacement was last suspected, monotonic ms. */
@@ -255,15 +286,18 @@
    * Returns the lease end to send for a lease of {@code leaseMillis}, in ms on the worker's clock,
    * and records it as granted. Returns empty before the worker has reported its clock.
    *
-   * <p>If the last request failed, this is the lease end granted before. Each request to a worker
-   * that does not respond may still arrive, so if each extended the lease, the lease could never be
-   * known to have expired.
+   * <p>If the last request failed, or leases are withheld, this is the lease end granted before.
+   * Each request to a worker that does not respond may still arrive, so if each extended the lease,
+   * the lease could never be known to have expired.
    */
   Optional<Long> grantLease(long leaseMillis, long nowMillis) {
     lastLeaseSentMillis = nowMillis;
     if (consecutiveCallFailures > 0) {
       return lease.longestEnd();
     }
+    if (leaseWithheld.getAsBoolean()) {
+      return lease.longestEnd().filter(end -> end > 0);
+    }
     Optional<Long> endMillis = lease.endOf(leaseMillis, nowMillis);
     endMillis.ifPresent(end -> lease = lease.grantUntil(end));
     return endMillis;
@@ -327,6 +361,44 @@
     return !hasReported || consecutiveCallFailures > 0;
   }
 
+  /**
+   * Returns whether it responded so recently, or since it was asked for that, that a long-running
+   * task may be assigned to it.
+   */
+  boolean hasJustAnswered(long nowMillis) {
+    boolean hasAnswered =
+        lastResponseMillis >= answerWantedMillis
+            && nowMillis - answerWantedMillis < REPORT_VALIDITY_MILLIS;
+    return consecutiveCallFailures == 0
+        && (hasAnswered || nowMillis - lastResponseMillis < ANSWER_VALIDITY_MILLIS);
+  }
+
+  /** Has it asked for a report at once, unless it is being asked already. */
+  void wantAnswer(long nowMillis) {
+    if (!isAnswerAwaited(nowMillis)) {
+      answerWantedMillis = nowMillis;
+      answerRequestDue = true;
+    }
+  }
+
+  private boolean isAnswerAwaited(long nowMillis) {
+    return answerWantedMillis > lastResponseMillis
+        && nowMillis - answerWantedMillis < REPORT_VALIDITY_MILLIS
+        && consecutiveCallFailures == 0;
+  }
+
+  /** Returns whether it was asked for an answer and should have given it by now. */
+  boolean isLateToAnswer(long nowMillis) {
+    return isAnswerAwaited(nowMillis) && nowMillis - answerWantedMillis > PROMPT_ANSWER_MILLIS;
+  }
+
+  /** Returns whether a request for an answer must be sent at once, and records it as sent. */
+  boolean beginAnswerRequest() {
+    boolean isDue = answerRequestDue;
+    answerRequestDue = false;
+    return isDue;
+  }
+
   /** Returns whether its requests fail and it has last responded before a time. */
   boolean isSilentSince(long millis) {
     return consecutiveCallFailures > 0 && silentSinceMillis() < millis;
@@ -456,6 +528,17 @@
     lease = lease.withInheritedLeasesUntil(millis);
   }
 
+  /** Applies that the leases which earlier schedulers granted have expired at a time. */
+  void limitUnknownLeases(long endMillis) {
+    limitInheritedLeases(endMillis);
+    lease = lease.limitUnknownLeases(endMillis);
+  }
+
+  /** Grants no lease beyond those it has while the condition holds. */
+  void withholdLeaseWhile(BooleanSupplier condition) {
+    leaseWithheld = condition;
+  }
+
   WorkerLease lease() {
     return lease;
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLease.java
@@ -40,7 +40,7 @@
     INHERITED,
     /** Granted to this incarnation by earlier schedulers; the end on its clock is unknown. */
     UNKNOWN_OWN,
-    /** Granted by commands to earlier incarnations, with an end unknown on the worker's clock. */
+    /** Granted by commands of earlier schedulers to earlier incarnations, as above. */
     UNKNOWN_INHERITED
   }
 
@@ -161,6 +161,14 @@
         unknownLeasesEndMillis, Math.min(unknownInheritedEndMillis, endMillis), onWorkerClock);
   }
 
+  /** Returns these leases, given that those of unknown end have expired at {@code endMillis}. */
+  WorkerLease limitUnknownLeases(long endMillis) {
+    return new WorkerLease(
+        Math.min(unknownLeasesEndMillis, endMillis),
+        Math.min(unknownInheritedEndMillis, endMillis),
+        onWorkerClock);
+  }
+
   /** Returns whether every lease has expired. */
   boolean isExpired(long nowMillis) {
     return nowMillis > unknownLeasesEndMillis
@@ -171,12 +179,17 @@
   /** Returns the last time at which a lease may not have expired, monotonic ms. */
   long latestExpiryMillis() {
     return Math.max(
-        Math.max(unknownLeasesEndMillis, unknownInheritedEndMillis),
+        latestUnknownExpiryMillis(),
         onWorkerClock
             .map(known -> known.expiryMillis(Math.max(known.endMillis, known.inheritedEndMillis)))
             .orElse(unknownLeasesEndMillis));
   }
 
+  /** Returns the last time at which a lease of unknown end may not have expired, monotonic ms. */
+  long latestUnknownExpiryMillis() {
+    return Math.max(unknownLeasesEndMillis, unknownInheritedEndMillis);
+  }
+
   /**
    * Returns the last time at which a lease from a command to an earlier incarnation may not have
    * expired, monotonic ms.
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseLog.java
@@ -27,14 +27,8 @@
    * Logs the first report of an incarnation, or the first one after its lease expired.
    *
    * @param unknownAttempts how many of the running attempts are not assigned to it
-   * @param unknown the ends of the leases that earlier schedulers granted
    */
-  void logConfirmed(
-      Worker worker,
-      WorkerReport report,
-      long unknownAttempts,
-      UnknownLeases unknown,
-      long nowMillis) {
+  void logConfirmed(Worker worker, WorkerReport report, long unknownAttempts, long nowMillis) {
     log.log(
         "worker.confirmed",
         "worker",
@@ -48,7 +42,7 @@
         "unknown",
         unknownAttempts,
         "unknownLeaseLeft",
-        Math.max(0, unknown.endMillis() - nowMillis));
+        Math.max(0, worker.lease().latestUnknownExpiryMillis() - nowMillis));
   }
 
   /** Logs the first of several consecutive report requests that failed. */
@@ -106,9 +100,7 @@
         "unknownOwnEndAgo",
         nowMillis - unknown.ownEndMillis(),
         "unknownInheritedEndAgo",
-        unknown.inheritedEndMillis() > 0
-            ? nowMillis - unknown.inheritedEndMillis()
-            : UNKNOWN_MILLIS,
+        nowMillis - unknown.inheritedEndMillis(),
         "unknownCountedFromAgo",
         nowMillis - unknown.countedFromMillis(),
         "silentMillis",
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.FleetClock;
 import org.sassafraslink.api.fleet.Resources;
 import org.sassafraslink.api.fleet.RowStore;
@@ -41,6 +42,7 @@
   private final WorkerListFeed listFeed;
   private final long longestOwnLeaseMillis;
   private final LateCommandBounds lateCommands;
+  private final Predicate<String> leaseWithheld;
   private final Listener listener;
 
   /** Workers that are listed, or that were listed and may still run tasks. */
@@ -63,6 +65,12 @@
   /** When the scheduler before this one sends no more commands, monotonic ms. */
   private long predecessorEndMillis;
 
+  /**
+   * From when on the last leases last that earlier schedulers can have granted to workers,
+   * monotonic ms.
+   */
+  private long predecessorGrantMillis;
+
   /** The number of registrations of incarnations in this epoch. */
   private long registrations;
 
@@ -83,6 +91,7 @@
    *
    * @param longestOwnLeaseMillis how long after a command to an incarnation a lease that it granted
    *     to this incarnation may last, in true time
+   * @param leaseWithheld whether a worker, by its id, gets no lease beyond those it has
    */
   WorkerRegistry(
       RowStore store,
@@ -91,9 +100,11 @@
       RowFormats formats,
       long longestOwnLeaseMillis,
       LateCommandBounds lateCommands,
+      Predicate<String> leaseWithheld,
       Listener listener) {
     this.longestOwnLeaseMillis = longestOwnLeaseMillis;
     this.lateCommands = lateCommands;
+    this.leaseWithheld = leaseWithheld;
     this.formerIncarnations = FormerIncarnations.create(lateCommands);
     this.clock = clock;
     this.log = log;
@@ -122,13 +133,16 @@
    * Removes all workers, so that the whole list is read again.
    *
    * @param predecessorEndMillis when earlier schedulers send no more commands, monotonic ms
+   * @param predecessorGrantMillis from when on the last leases last that they can have granted,
+   *     monotonic ms
    */
-  void reset(long predecessorEndMillis) {
+  void reset(long predecessorEndMillis, long predecessorGrantMillis) {
     listFeed.reset();
     workersById.clear();
     detachedWorkers.clear();
     index = null;
     this.predecessorEndMillis = predecessorEndMillis;
+    this.predecessorGrantMillis = predecessorGrantMillis;
     registrations = 0;
     formerIncarnations.clear();
   }
@@ -176,6 +190,7 @@
   Worker findOrAddFromJobRow(String id, long incarnation) {
     Worker registered = workersById.get(id);
     if (registered != null) {
+      registered.namedInLaterIncarnation |= incarnation > registered.entry.incarnation();
       return registered;
     }
     for (Worker worker : detachedWorkers) {
@@ -285,8 +300,8 @@
 
   /**
    * Creates a worker. If it does not report, the leases that earlier schedulers granted it are
-   * known only by the time at which these schedulers ended. So are those from commands to earlier
-   * incarnations, unless the row of a job says more.
+   * known only by the last renewal of theirs, and those from commands to earlier incarnations by
+   * the time at which these schedulers ended, unless the row of a job says more.
    */
   private Worker createWorker(WorkerEntry entry) {
     long ageMillis = clock.wallMillis() - entry.incarnation();
@@ -295,17 +310,39 @@
         lateCommands.inheritedLeaseMillis(ageMillis - sincePredecessorMillis);
     long inheritedEndMillis =
         predecessorEndMillis + LateCommandBounds.longestTrueMillis(inheritedLeaseMillis);
-    return new Worker(
-        entry,
-        predecessorEndMillis + longestOwnLeaseMillis,
-        inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
+    Worker worker =
+        new Worker(
+            entry,
+            predecessorGrantMillis + longestOwnLeaseMillis,
+            inheritedLeaseMillis > 0 ? inheritedEndMillis : 0);
+    worker.followsKnownIncarnation = hasKnownIncarnation(entry.id(), clock.monotonicMillis());
+    worker.withholdLeaseWhile(() -> leaseWithheld.test(entry.id()));
+    return worker;
   }
 
-  /** Returns when the leases of a worker have expired that earlier schedulers granted. */
+  /** Returns until when a silent worker may hold leases that earlier schedulers granted. */
   UnknownLeases unknownLeasesOf(Worker worker) {
     WorkerLease lease = worker.lease();
     return new UnknownLeases(
-        predecessorEndMillis, lease.unknownLeasesEndMillis(), lease.unknownInheritedEndMillis());
+        predecessorGrantMillis, lease.unknownLeasesEndMillis(), lease.unknownInheritedEndMillis());
+  }
+
+  /**
+   * Returns whether the end of a worker's leases, as known here, bounds each lease that any
+   * incarnation with its id may hold. Commands to another incarnation may still grant one unless
+   * this one has reported, which closes the matter.
+   */
+  boolean isLeaseEndCertain(Worker worker) {
+    String id = worker.entry.id();
+    boolean isOnlyOne =
+        findById(id).map(registered -> registered == worker).orElse(true)
+            && detachedWorkers.stream()
+                .allMatch(other -> other == worker || !other.entry.id().equals(id));
+    boolean hasReported = worker.lease().onWorkerClock().isPresent();
+    return isOnlyOne
+        && !worker.laterIncarnationSeen
+        && !worker.namedInLaterIncarnation
+        && (hasReported || !worker.followsKnownIncarnation);
   }
 
   /** Creates a worker whose kind is unknown until its own entry is read. */
@@ -317,10 +354,14 @@
 
   /** Returns whether a command to an earlier incarnation may have an effect in a new one. */
   private boolean mayHaveFormerIncarnation(String id, long nowMillis) {
+    return hasKnownIncarnation(id, nowMillis)
+        || nowMillis <= lateCommands.lateRunEndMillis(predecessorEndMillis);
+  }
+
+  private boolean hasKnownIncarnation(String id, long nowMillis) {
     return workersById.containsKey(id)
         || detachedWorkers.stream().anyMatch(worker -> worker.entry.id().equals(id))
-        || formerIncarnations.contains(id, nowMillis)
-        || nowMillis <= lateCommands.lateRunEndMillis(predecessorEndMillis);
+        || formerIncarnations.contains(id, nowMillis);
   }
 
   /** Makes an incarnation the one that is registered under its id. */
