--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseLog.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerLeaseLog.java
@@ -100,7 +100,9 @@
         "unknownOwnEndAgo",
         nowMillis - unknown.ownEndMillis(),
         "unknownInheritedEndAgo",
-        nowMillis - unknown.inheritedEndMillis(),
+        unknown.inheritedEndMillis() > 0
+            ? nowMillis - unknown.inheritedEndMillis()
+            : UNKNOWN_MILLIS,
         "unknownCountedFromAgo",
         nowMillis - unknown.countedFromMillis(),
         "silentMillis",
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/incarnation/UnknownLeases.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/incarnation/UnknownLeases.java
@@ -6,7 +6,8 @@
  *
  * @param countedFromMillis from when on the last leases last that they granted
  * @param ownEndMillis the end of leases granted to this incarnation
- * @param inheritedEndMillis the end of leases granted by commands to earlier incarnations
+ * @param inheritedEndMillis the end of leases granted by commands to earlier incarnations; 0 if
+ *     there are none
  */
 public record UnknownLeases(long countedFromMillis, long ownEndMillis, long inheritedEndMillis) {
   /** Returns when all of them have expired. */
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseLogTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/WorkerLeaseLogTest.java
@@ -137,8 +137,7 @@
     fleet.runFor(20_000);
     Event expired = onlyEvent("worker.lease_expired");
     // By its age commands to an earlier incarnation could have granted longer leases, but the row
-    // of
-    // the job tells when these have expired.
+    // of the job tells when these have expired.
     assertEquals(WorkerLease.Bound.UNKNOWN_OWN, expired.fields().get("lastBound"));
     assertEquals(expired.number("unknownLeaseEndAgo"), expired.number("unknownOwnEndAgo"));
     assertBetween(
@@ -162,6 +161,28 @@
     assertBetween(LEASE_MILLIS, 20_000, expired.number("silentMillis"));
   }
 
+  /** The worker restarts and is lost before any scheduler has heard the new incarnation. */
+  @Test
+  void expiryRestsOnInheritedLeasesOfUnknownEnd() {
+    startTasks();
+    fleet.startWorker(WORKER);
+    fleet.crashWorker(WORKER);
+    events.clear();
+    fleet.startNode("n0");
+    fleet.runFor(30_000);
+    Event expired = onlyEvent("worker.lease_expired");
+    assertEquals(WorkerLease.Bound.UNKNOWN_INHERITED, expired.fields().get("lastBound"));
+    assertEquals(expired.number("unknownLeaseEndAgo"), expired.number("unknownInheritedEndAgo"));
+    assertTrue(expired.number("unknownInheritedEndAgo") < expired.number("unknownOwnEndAgo"));
+    Event active = onlyEvent("scheduler.active");
+    assertEquals(1, active.number("silentWorkers"));
+    assertBetween(
+        active.number("ownLeaseLeft") + 1,
+        LONGEST_LEASE_MILLIS,
+        active.number("inheritedLeaseLeft"));
+    assertEquals(active.number("inheritedLeaseLeft"), active.number("leaseLeft"));
+  }
+
   /** The list shows the earlier incarnation, so commands for it reach the later one. */
   @ParameterizedTest
   @ValueSource(strings = {"start", "report"})
