A long-running task goes rather to a worker without an inherited lease

Cause: for 4 s after the first report of a restarted worker, leases that commands to its earlier incarnation may have granted outlast the scheduler's own. Its long-running tasks were given to it again at once. If it was lost again then, they waited for these leases: 9.4 to 10.1 s.

Change: among workers that are otherwise equal, such a task goes to one whose leases end no later than those that this scheduler grants. A preference only; nothing waits for it, and no bound changes.

Result: LongRunningTaskHeldTest#oneWorkerIsLostAfterRestart, 4 cases: away for less than 1 s.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Placement.java
@@ -36,6 +36,7 @@
   private final AdviceTicketCache adviceTickets;
   private final Predicate<Worker> isSurplus;
   private final BiConsumer<Task, Worker> holdRoom;
+  private final long longestOwnLeaseMillis;
   private final EventLog log;
   private final OverloadDeferral overloadDeferral;
   private Backlog backlog = new Backlog();
@@ -45,6 +46,7 @@
    * Creates an instance.
    *
    * @param holdRoom keeps room for a long-running task on a worker that is asked for an answer
+   * @param longestOwnLeaseMillis how long a lease that this scheduler grants may last, in true time
    */
   Placement(
       PublishedConfig config,
@@ -54,6 +56,7 @@
       AdviceTicketCache adviceTickets,
       Predicate<Worker> isSurplus,
       BiConsumer<Task, Worker> holdRoom,
+      long longestOwnLeaseMillis,
       EventLog log) {
     this.config = config;
     this.workers = workers;
@@ -63,6 +66,7 @@
     this.adviceTickets = adviceTickets;
     this.isSurplus = isSurplus;
     this.holdRoom = holdRoom;
+    this.longestOwnLeaseMillis = longestOwnLeaseMillis;
     this.log = log;
     this.overloadDeferral = new OverloadDeferral(config, durationModel, log);
   }
@@ -261,13 +265,18 @@
     return isAnyPlaced;
   }
 
-  /** Chooses a worker, if possible none that was asked for an answer and has not given it. */
-  private static Optional<Worker> chooseAnsweringFirst(
-      Task task, List<Worker> eligible, long nowMillis) {
+  /**
+   * Chooses a worker, if possible none that was asked for an answer and has not given it. Among
+   * others that are equal, one is preferred that holds no lease longer than this scheduler grants.
+   */
+  private Optional<Worker> chooseAnsweringFirst(Task task, List<Worker> eligible, long nowMillis) {
+    // If one of these is lost, its tasks wait for leases that it may have from elsewhere.
+    Predicate<Worker> mayHoldLongLease =
+        worker -> worker.lease().latestExpiryMillis() > nowMillis + longestOwnLeaseMillis;
     List<Worker> prompt =
         eligible.stream().filter(worker -> !worker.isLateToAnswer(nowMillis)).toList();
-    return WorkerChoice.chooseWorker(task, prompt)
-        .or(() -> WorkerChoice.chooseWorker(task, eligible));
+    return WorkerChoice.chooseWorker(task, prompt, mayHoldLongLease)
+        .or(() -> WorkerChoice.chooseWorker(task, eligible, mayHoldLongLease));
   }
 
   /**
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Scheduler.java
@@ -213,6 +213,7 @@
             adviceTickets,
             autoscaler::isSurplus,
             relocations::hold,
+            settings.longestOwnLeaseMillis(),
             log);
     this.placementRounds = new PlacementRounds(clock, jobs, placement, progressWriter, load);
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerChoice.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.sassafraslink.api.fleet.Resources;
 
 /**
@@ -20,6 +21,7 @@
   private static final double OTHER_RACK_PENALTY = 100;
   private static final double INTERFERENCE_PENALTY = 30;
   private static final double SURPLUS_PENALTY = 10;
+  private static final double SECOND_CHOICE_PENALTY = 2;
   private static final double FREE_CAPACITY_WEIGHT = 1;
 
   private WorkerChoice() {}
@@ -41,11 +43,18 @@
    * none.
    */
   static Optional<Worker> chooseWorker(Task task, Collection<Worker> workers) {
+    return chooseWorker(task, workers, worker -> false);
+  }
+
+  /** As above, where some workers are chosen only if there is none as good apart from that. */
+  static Optional<Worker> chooseWorker(
+      Task task, Collection<Worker> workers, Predicate<Worker> isSecondChoice) {
     Worker best = null;
     double lowestCost = 0;
     for (Worker worker : workers) {
       if (fits(task, worker)) {
-        double cost = cost(task, worker);
+        double cost =
+            cost(task, worker) + (isSecondChoice.test(worker) ? SECOND_CHOICE_PENALTY : 0);
         if (best == null || cost < lowestCost) {
           best = worker;
           lowestCost = cost;
--- a/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/LongRunningTaskHeldTest.java
@@ -295,6 +295,20 @@
     assertOwedTasksRun();
   }
 
+  /** Guards against the same wait where another worker could have had the task. */
+  @ParameterizedTest
+  @ValueSource(ints = {300, 1_000, 2_500, 3_900})
+  void oneWorkerIsLostAfterRestart(int delayMillis) {
+    startFleet(/* phaseMillis= */ 0);
+    runTasksFor(STEADY_MILLIS);
+    String restarted = busyWorkers().get(0);
+    fleet.startWorker(restarted);
+    fleet.runFor(delayMillis);
+    fleet.crashWorker(restarted);
+    assertOwedTasksRun();
+    assertTrue(fleet.longestAbsenceMillis() < 1_000, "" + fleet.longestAbsenceMillis());
+  }
+
   /** Guards against a task that is given to idle workers which have been lost unnoticed. */
   @ParameterizedTest
   @ValueSource(ints = {0, 500})
