--- a/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/sim/SimFleet.java
@@ -593,8 +593,7 @@
    * started again.
    */
   public void crashWorker(String id) {
-    recordFault();
-    workers.get(id).crash();
+    crashWorkerThatStaysListed(id);
     clock.runAfter(
         4_500,
         () -> {
@@ -604,6 +603,12 @@
         });
   }
 
+  /** Crashes a worker whose entry other software or the platform keeps. */
+  public void crashWorkerThatStaysListed(String id) {
+    recordFault();
+    workers.get(id).crash();
+  }
+
   /** Returns the id of the worker with the most running attempts. */
   public String busiestWorkerId() {
     return workers.values().stream()
