EvacuationTest: only starts lose their responses in the test of starts in doubt

It lost all responses of workers from before the first start on, so no worker answers and none gets a start, which the test needs: its setup was wrong for its subject, not the rule that it checks.

Change: the responses to starts are lost from the first one on, all others once the starts were sent; that they were sent is asserted. The assertions are the same. The former setup is kept as a test of its own: no start is sent while no worker answers, and none in the zone after the request.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/EvacuationTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/EvacuationTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
@@ -22,6 +23,7 @@
 import org.sassafraslink.scheduler.sim.SimFleet;
 import org.sassafraslink.scheduler.sim.SimFleet.StartCommand;
 import org.sassafraslink.scheduler.sim.SimLayout;
+import org.sassafraslink.scheduler.sim.SimNetwork.CommandKind;
 import org.sassafraslink.scheduler.sim.SimNode;
 import org.sassafraslink.scheduler.sim.SimNode.CommandOutcome;
 
@@ -176,17 +178,51 @@
   void longRunningTaskWithLostAnswerIsLeftToRun() {
     startFleet();
     SimNode scheduler = scheduler();
+    setStartOutcome(CommandOutcome.RESPONSE_LOST);
+    submitLongRunningTasks();
+    // Workers get the starts only if they answer before.
+    fleet.runFor(100);
+    assertEquals(WORKERS, fleet.startCommands.size());
     scheduler.setCommandOutcome(CommandOutcome.RESPONSE_LOST);
+    fleet.runFor(200);
+    evacuate(EVACUATED);
+    fleet.runFor(700);
+    scheduler.setCommandOutcome(CommandOutcome.RESPONSE_RECEIVED);
+    setStartOutcome(CommandOutcome.RESPONSE_RECEIVED);
+    fleet.runFor(LONG_MILLIS);
+    assertEquals(WORKERS / 2, fleet.runningAttemptCount(EVACUATED));
+    assertTrue(fleet.startCommands.stream().allMatch(start -> start.attempt() == 1));
+  }
+
+  private void submitLongRunningTasks() {
     fleet.multiplyTaskTimes(1_000);
     fleet.submit(
         "job", TestJobs.step(WORKERS, 1_000, 500, StepKind.LONG_RUNNING, /* maxPerWorker= */ 1));
+  }
+
+  private void setStartOutcome(CommandOutcome outcome) {
+    for (String node : fleet.nodes.keySet()) {
+      for (int i = 0; i < WORKERS; i++) {
+        fleet.network.setOutcome(node, "w" + i, EnumSet.of(CommandKind.START), outcome);
+      }
+    }
+  }
+
+  /** Guards against starts to workers that answer only after the request to evacuate them. */
+  @Test
+  void longRunningTaskStartsElsewhereIfNoWorkerAnswers() {
+    startFleet();
+    SimNode scheduler = scheduler();
+    scheduler.setCommandOutcome(CommandOutcome.RESPONSE_LOST);
+    submitLongRunningTasks();
     fleet.runFor(300);
-    evacuate(EVACUATED);
+    assertEquals(List.of(), fleet.startCommands);
+    long since = evacuate(EVACUATED);
     fleet.runFor(700);
     scheduler.setCommandOutcome(CommandOutcome.RESPONSE_RECEIVED);
     fleet.runFor(LONG_MILLIS);
-    assertEquals(WORKERS / 2, fleet.runningAttemptCount(EVACUATED));
-    assertTrue(fleet.startCommands.stream().allMatch(start -> start.attempt() == 1));
+    assertNoStartInZone(since);
+    assertEquals(WORKERS / 2, fleet.runningAttemptCount());
   }
 
   /** Guards against sending a start that was assigned, but not committed, before the request. */
