Test of recorded ends with a store whose clock has another rate

Cause: the conversion of a recorded end was tested with equal rates of all clocks only. Change: two cases of RecordedLeaseEndTest, with the store's clock at 0.981 and 1.019. Measured: both green, in the run of the whole module.

--- a/scheduler/src/test/java/org/sassafraslink/scheduler/RecordedLeaseEndTest.java
+++ b/scheduler/src/test/java/org/sassafraslink/scheduler/RecordedLeaseEndTest.java
@@ -228,6 +228,20 @@
     }
   }
 
+  /** Guards against an end that a clock of another rate shows too early. */
+  @ParameterizedTest
+  @ValueSource(doubles = {0.981, 1.019})
+  void clockOfStoreHasAnotherRate(double rate) {
+    for (int kills = 1; kills <= 4; kills++) {
+      startFleet(/* phaseMillis= */ 0);
+      fleet.rowStore.setClockRate(rate);
+      fleet.runFor(5_000);
+      playCut(new CutOff(12_000, 2_000, kills));
+      fleet.runFor(6_000);
+      assertRunsOnce();
+    }
+  }
+
   static Stream<Arguments> storeFaults() {
     return Stream.of(Behavior.values())
         .filter(behavior -> behavior != Behavior.NORMAL)
