An end is not recorded while another incarnation was known shortly before

Cause: a worker whose later incarnation was listed and whose entry then vanished counted as the only one of its id. Change: its end is not certain while commands to a former incarnation may have an effect.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/WorkerRegistry.java
@@ -319,6 +319,7 @@
                 .allMatch(other -> other == worker || !other.entry.id().equals(id));
     boolean hasReported = worker.lease().onWorkerClock().isPresent();
     return isOnlyOne
+        && !formerIncarnations.contains(id, clock.monotonicMillis())
         && !worker.laterIncarnationSeen
         && !worker.namedInLaterIncarnation
         && (hasReported || !worker.followsKnownIncarnation);
