Play of real processes: workers lost for good beside takeovers

The play of long-running tasks disrupts one thing in a play, and its workers are up again after 2 s. Callers use open connections until these fail. It checks the rule for long-running tasks, where a stop is no fault, and that no task runs twice at once. VMs stay in their pool: with a standby pool all idle ones are moved away, and the pool has no room after a loss.

--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/CallerConnection.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/CallerConnection.java
@@ -33,7 +33,8 @@
     this.input = new BufferedInputStream(socket.getInputStream());
   }
 
-  static CallerConnection open(InetSocketAddress address) throws IOException {
+  /** Opens a connection, which fails after a second. */
+  public static CallerConnection open(InetSocketAddress address) throws IOException {
     Socket socket = new Socket();
     try {
       socket.setTcpNoDelay(true);
@@ -55,12 +56,12 @@
     }
   }
 
-  boolean isReusable() {
+  public boolean isReusable() {
     return isReusable;
   }
 
   /** Sends a request and returns the status of the response. */
-  int send(String method, String path, String body, int timeoutMillis) {
+  public int send(String method, String path, String body, int timeoutMillis) {
     try {
       socket.setSoTimeout(timeoutMillis);
       socket.getOutputStream().write(encode(method, path, body, timeoutMillis));
--- a/entry/src/test/java/org/sassafraslink/entry/cancelling/RunRecord.java
+++ b/entry/src/test/java/org/sassafraslink/entry/cancelling/RunRecord.java
@@ -143,6 +143,30 @@
         .orElse(0);
   }
 
+  /** Returns one line for each pair of runs of a task at the same time. */
+  public synchronized List<String> overlaps() {
+    List<String> found = new ArrayList<>();
+    Map<String, Run> latestByTask = new HashMap<>();
+    for (Run run : runs) {
+      Run latest = latestByTask.get(run.task);
+      if (latest != null && run.startMillis < latest.endMillis) {
+        found.add(
+            String.format(
+                Locale.ROOT,
+                "%.3f %s starts on %s and runs on %s until %.3f",
+                run.startMillis / 1e3,
+                run.task,
+                run.worker,
+                latest.worker,
+                latest.endMillis / 1e3));
+      }
+      if (latest == null || run.endMillis > latest.endMillis) {
+        latestByTask.put(run.task, run);
+      }
+    }
+    return found;
+  }
+
   synchronized List<Violation> violations(long nowMillis) {
     List<Violation> violations = new ArrayList<>();
     for (Run run : runs) {
--- a/entry/src/test/java/org/sassafraslink/entry/longrunning/LongRunningPlay.java
+++ b/entry/src/test/java/org/sassafraslink/entry/longrunning/LongRunningPlay.java
@@ -114,7 +114,7 @@
       events.write("started at " + events.startUnixMillis() + ", " + scenario);
       StoreStandIn store = StoreStandIn.create(events, options.seed());
       int storePort = store.listen();
-      store.put("op", "config", config(scenario));
+      store.put("op", "config", config(scenario.vmsByPool().keySet(), true));
       VmFleet vms = VmFleet.start(store, record, events, options.seed(), scenario.vmsByPool());
       int vmApiPort = vms.listenForVmCalls();
       try (EntryFleet entries =
@@ -256,19 +256,22 @@
         playedMillis / 1e3);
   }
 
-  private static ObjectNode config(Scenario scenario) {
+  /** Returns the configuration row of a fleet with a queue for each of the pools. */
+  static ObjectNode config(Set<String> pools, boolean hasStandbyPool) {
     ObjectNode config = LoopbackServer.MAPPER.createObjectNode().put("version", 7);
     ArrayNode routes = config.putArray("routes");
     ArrayNode services = config.putArray("services");
-    for (String pool : scenario.vmsByPool().keySet()) {
+    for (String pool : pools) {
       addRoute(routes, pool);
       services.addObject().put("name", pool).put("admissionCheck", true).put("standby", false);
     }
-    services
-        .addObject()
-        .put("name", Scenario.STANDBY_POOL)
-        .put("admissionCheck", true)
-        .put("standby", true);
+    if (hasStandbyPool) {
+      services
+          .addObject()
+          .put("name", Scenario.STANDBY_POOL)
+          .put("admissionCheck", true)
+          .put("standby", true);
+    }
     config
         .putObject("limits")
         .put("maxHeaderBytes", 16_384)
--- a/entry/src/test/java/org/sassafraslink/entry/longrunning/VmFleet.java
+++ b/entry/src/test/java/org/sassafraslink/entry/longrunning/VmFleet.java
@@ -33,6 +33,9 @@
   /** How long the VM of a lost worker is down. */
   static final long LOSS_MILLIS = 2_000;
 
+  /** How long the entry of a lost worker stays. */
+  private static final long ENTRY_MILLIS = 4_500;
+
   private static final int VMS_PER_RACK = 4;
   private static final int OK = 200;
   private static final int CONFLICT = 409;
@@ -176,6 +179,26 @@
     }
   }
 
+  /** Ends a worker that runs tasks for good; its entry is removed some seconds later. */
+  synchronized void loseBusyWorker() {
+    List<Vm> candidates =
+        vms.stream()
+            .filter(vm -> vm.worker.filter(worker -> !worker.state().tasks().isEmpty()).isPresent())
+            .toList();
+    if (candidates.isEmpty()) {
+      return;
+    }
+    Vm vm = candidates.get(random.nextInt(candidates.size()));
+    WorkerStandIn worker = vm.worker.orElseThrow();
+    int tasks = worker.state().tasks().size();
+    vm.state = "down";
+    vm.worker = Optional.empty();
+    worker.end();
+    events.write(worker.id() + " with " + tasks + " tasks lost for good on " + vm.name);
+    LoopbackServer.TIMERS.schedule(
+        () -> store.remove("servers", worker.id()), ENTRY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   private synchronized void startWorker(Vm vm, Optional<String> newPool) throws IOException {
     vm.pool = newPool.orElse(vm.pool);
     vm.state = "up";
--- a/entry/src/test/java/org/sassafraslink/entry/longrunning/package-info.java
+++ b/entry/src/test/java/org/sassafraslink/entry/longrunning/package-info.java
@@ -10,7 +10,11 @@
  *     org.sassafraslink.entry.longrunning.LongRunningPlay FOLDER
  * </pre>
  *
- * <p>It prints a line for each seed, and for each seed keeps in the folder the file {@code events}
- * with what workers, VMs and the store saw, the breaks, and the logs of the daemons.
+ * <p>{@link org.sassafraslink.entry.longrunning.LostWorkerSoakTest} and {@code LostWorkerPlay} do
+ * so for workers that end for good shortly before the process that schedules; the properties begin
+ * with {@code lostworker}.
+ *
+ * <p>Each prints a line for each seed, and for each seed keeps in the folder the file {@code
+ * events} with what workers, VMs and the store saw, the breaks, and the logs of the daemons.
  */
 package org.sassafraslink.entry.longrunning;
