The row of a moved attempt names the incarnation to which it was assigned

The attempt moves to the listed later incarnation, in doubt. When another task of the job changed, the row was written with that incarnation, and since with the end of its inherited leases, as if it had reported. The scheduler after that one had no doubt any more and released the task while the late start ran.

The row keeps the incarnation of the assignment, without that end, until the later one has reported the attempt.

--- a/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/JobRegistry.java
@@ -190,6 +190,7 @@
       task.assign(worker, task.attempt, "");
       task.phase = TaskPhase.ORDERED;
       task.restored = true;
+      task.assignedIncarnation = attempt.workerIncarnation();
       task.movedToRestartedWorker = worker.entry.incarnation() != attempt.workerIncarnation();
       if (!task.movedToRestartedWorker) {
         restoreInheritedLeaseEnd(worker, attempt.inheritedLeaseEnd());
@@ -445,6 +446,7 @@
   @Override
   public void onRunningAfterRestart(Task task) {
     task.movedToRestartedWorker = false;
+    task.assignedIncarnation = task.worker.entry.incarnation();
     if (!task.job.state.isFinal()) {
       // The next scheduler needs to know on which incarnation the attempt runs.
       progressWriter.recordChange(task.job, false);
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/ProgressRow.java
@@ -18,8 +18,9 @@
  * <p>The row is a JSON object of the job's state, of whether a worker is known to have accepted a
  * start, and of its tasks, which are nested arrays by occurrence, step and index. A task that has
  * never been assigned is 0 and one that is done is 1; any other task is an array of attempt,
- * failures, worker (empty if the attempt has ended), the worker's incarnation, checkpoint, and, if
- * known, when the inherited leases of the incarnation have expired, see {@link InheritedLeaseEnds}.
+ * failures, worker (empty if the attempt has ended), the incarnation of the worker to which it was
+ * assigned or that has reported it, checkpoint, and, if known, when the inherited leases of the
+ * incarnation have expired, see {@link InheritedLeaseEnds}.
  */
 final class ProgressRow {
   private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -68,9 +69,11 @@
       if (task.worker == null) {
         taskNode.add("").add(0).add(task.checkpoint);
       } else {
-        taskNode.add(task.worker.entry.id()).add(task.worker.entry.incarnation());
+        taskNode.add(task.worker.entry.id()).add(task.assignedIncarnation);
         taskNode.add(task.checkpoint);
-        inheritedLeaseEnd.apply(task.worker).ifPresent(taskNode::add);
+        if (!task.movedToRestartedWorker) {
+          inheritedLeaseEnd.apply(task.worker).ifPresent(taskNode::add);
+        }
       }
     }
   }
--- a/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
+++ b/scheduler/src/main/java/org/sassafraslink/scheduler/Task.java
@@ -74,6 +74,12 @@
    */
   boolean movedToRestartedWorker;
 
+  /**
+   * The incarnation to which the attempt was assigned, or that has reported it since. A later one
+   * to which the attempt has moved may never have reported, so it stays in doubt.
+   */
+  long assignedIncarnation;
+
   /** What later incarnations of the worker may do with the starts of the attempt. */
   StartDoubt startDoubt = StartDoubt.NONE;
 
@@ -208,6 +214,7 @@
     changeDestination(Optional.empty());
     phase = TaskPhase.ASSIGNED;
     worker = targetWorker;
+    assignedIncarnation = targetWorker.entry.incarnation();
     attempt = nextAttempt;
     ticket = adviceTicket;
     startCheckpoint = checkpoint;
